--- /dev/null
+++ b/include/mulberryhoist/error.h
@@ -0,0 +1,75 @@
+/// \file
+/// The closed list of error kinds, and the answer that belongs to each kind.
+
+#ifndef MULBERRYHOIST_ERROR_H
+#define MULBERRYHOIST_ERROR_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace mulberryhoist {
+
+/// Every kind of error that the system reports.
+enum class ErrorKind : std::uint8_t {
+  MalformedPacket,
+  UnknownAddress,
+  WrongService,
+  MalformedMessage,
+  OversizedMessage,
+  InvalidTable,
+  IncompleteTable,
+  OlderTable,
+  ConflictingTable,
+  InvalidSetting,
+  PeerUnreachable,
+  ConfigurationUnavailable,
+  CallRateExceeded,
+  RefusedNotRun,
+  OutcomeUnknown,
+  RingFull,
+  WorkerFailed,
+  SystemCall,
+};
+
+/// Number of members of `ErrorKind`.
+inline constexpr std::size_t ErrorKindCount = 18;
+
+/// What the system does towards the sender when an error of a kind occurs.
+enum class ErrorAnswer : std::uint8_t {
+  Drop,          ///< Drop the input and count it.
+  Refuse,        ///< Refuse the opening: it has not run.
+  Reset,         ///< Reset the flow: the outcome is unknown.
+  KeepInForce,   ///< Reject the new value and keep the one in force.
+  RetryLater,    ///< Try again after a back-off.
+  ExitProcess,   ///< Report and exit with a non-zero status.
+  RestartWorker, ///< Restart the worker thread.
+};
+
+/// One error: its kind and a sentence for people.
+struct Error {
+  ErrorKind Kind;
+  std::string Detail;
+};
+
+/// The result of an operation that can fail.
+template <typename T> using Result = tl::expected<T, Error>;
+
+/// Returns the error as the unexpected side of a `Result`.
+///
+///     return makeError(ErrorKind::InvalidSetting, "--port: 0 is
+///     not 1..65535");
+inline tl::unexpected<Error> makeError(ErrorKind Kind, std::string Detail) {
+  return tl::unexpected<Error>(Error{Kind, std::move(Detail)});
+}
+
+/// Returns the name of the kind as it appears in logs and metrics.
+std::string_view errorName(ErrorKind Kind);
+
+/// Returns what the system does when an error of this kind occurs.
+ErrorAnswer errorAnswer(ErrorKind Kind);
+
+} // namespace mulberryhoist
+
+#endif // MULBERRYHOIST_ERROR_H
--- /dev/null
+++ b/include/mulberryhoist/types.h
@@ -0,0 +1,114 @@
+/// \file
+/// Value types that all parts share: addresses, flow keys, identifiers, time.
+
+#ifndef MULBERRYHOIST_TYPES_H
+#define MULBERRYHOIST_TYPES_H
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "mulberryhoist/error.h"
+
+namespace mulberryhoist {
+
+/// A point on the monotonic clock; decision logic gets it as an argument.
+using Instant = std::chrono::steady_clock::time_point;
+
+/// A span of monotonic time.
+using Duration = std::chrono::steady_clock::duration;
+
+/// The bytes of one datagram or packet, borrowed from the receive buffer.
+using PacketBytes = std::span<const std::uint8_t>;
+
+/// An IPv4 address and port, both in host byte order.
+struct Endpoint {
+  std::uint32_t Address = 0;
+  std::uint16_t Port = 0;
+
+  friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+};
+
+/// Parses `a.b.c.d:port`.
+///
+///     parseEndpoint("127.0.0.1:8080")->Port == 8080
+Result<Endpoint> parseEndpoint(std::string_view Text);
+
+/// Formats as `a.b.c.d:port`.
+std::string formatEndpoint(Endpoint Value);
+
+/// The two ends of a TCP flow: who called and which service address.
+struct FlowKey {
+  Endpoint Caller;
+  Endpoint Service;
+
+  friend auto operator<=>(const FlowKey &, const FlowKey &) = default;
+};
+
+/// The caller's initial sequence number, which tells apart successive flows
+/// with the same key.
+using Incarnation = std::uint32_t;
+
+/// An identifier derived from a name, a distinct type for each `Tag`.
+template <typename Tag> struct NameId {
+  std::uint32_t Value = 0;
+
+  friend auto operator<=>(const NameId &, const NameId &) = default;
+};
+
+struct UpstreamTag;
+struct ServiceTag;
+
+/// Identifies an upstream: the hash of its name in the table.
+using UpstreamId = NameId<UpstreamTag>;
+
+/// Identifies a service: the hash of its name in the table.
+using ServiceId = NameId<ServiceTag>;
+
+/// Returns the identifier of the upstream with this name.
+UpstreamId upstreamId(std::string_view Name);
+
+/// Returns the identifier of the service with this name.
+ServiceId serviceId(std::string_view Name);
+
+/// Orders the contents of a document: the epoch first, then the revision.
+struct DocumentVersion {
+  std::uint32_t Epoch = 0;
+  std::uint64_t Revision = 0;
+
+  friend auto operator<=>(const DocumentVersion &,
+                          const DocumentVersion &) = default;
+};
+
+/// The version of a table.
+using TableVersion = DocumentVersion;
+
+/// Returns a well-mixed 64-bit hash of a flow key.
+std::uint64_t hashFlow(const FlowKey &Key);
+
+} // namespace mulberryhoist
+
+template <> struct std::hash<mulberryhoist::FlowKey> {
+  std::size_t operator()(const mulberryhoist::FlowKey &Key) const noexcept {
+    return mulberryhoist::hashFlow(Key);
+  }
+};
+
+template <typename Tag> struct std::hash<mulberryhoist::NameId<Tag>> {
+  std::size_t operator()(const mulberryhoist::NameId<Tag> &Id) const noexcept {
+    return Id.Value;
+  }
+};
+
+template <> struct std::hash<mulberryhoist::Endpoint> {
+  std::size_t operator()(const mulberryhoist::Endpoint &Value) const noexcept {
+    return (std::size_t{Value.Address} << 16U) | Value.Port;
+  }
+};
+
+#endif // MULBERRYHOIST_TYPES_H
--- /dev/null
+++ b/src/types.cc
@@ -0,0 +1,83 @@
+#include "mulberryhoist/types.h"
+
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace mulberryhoist {
+namespace {
+
+/// Reads a decimal number up to `Max` that `Separator` or the end follows.
+Result<std::uint32_t> takeNumber(std::string_view &Text, std::uint32_t Max,
+                                 char Separator) {
+  std::uint32_t Value = 0;
+  const char *First = Text.data();
+  const char *Last = First + Text.size();
+  const auto [Stop, Code] = std::from_chars(First, Last, Value);
+  if (Code != std::errc() || Stop == First || Value > Max) {
+    return makeError(ErrorKind::InvalidSetting, "number out of range");
+  }
+  Text.remove_prefix(static_cast<std::size_t>(Stop - First));
+  if (Separator == '\0') {
+    if (!Text.empty()) {
+      return makeError(ErrorKind::InvalidSetting, "trailing characters");
+    }
+    return Value;
+  }
+  if (Text.empty() || Text.front() != Separator) {
+    return makeError(ErrorKind::InvalidSetting, "missing separator");
+  }
+  Text.remove_prefix(1);
+  return Value;
+}
+
+std::uint32_t hashName(std::string_view Name) {
+  return XXH32(Name.data(), Name.size(), 0);
+}
+
+} // namespace
+
+Result<Endpoint> parseEndpoint(std::string_view Text) {
+  constexpr std::uint32_t MaxOctet = 255;
+  constexpr std::uint32_t MaxPort = 65535;
+  constexpr std::array<char, 4> Separators = {'.', '.', '.', ':'};
+  const std::string Original(Text);
+  Endpoint Value;
+  for (const char Separator : Separators) {
+    const auto Octet = takeNumber(Text, MaxOctet, Separator);
+    if (!Octet) {
+      return makeError(ErrorKind::InvalidSetting,
+                       fmt::format("'{}' is not IPv4:port", Original));
+    }
+    Value.Address = (Value.Address << 8U) | *Octet;
+  }
+  const auto Port = takeNumber(Text, MaxPort, '\0');
+  if (!Port) {
+    return makeError(ErrorKind::InvalidSetting,
+                     fmt::format("'{}' is not IPv4:port", Original));
+  }
+  Value.Port = static_cast<std::uint16_t>(*Port);
+  return Value;
+}
+
+std::string formatEndpoint(Endpoint Value) {
+  return fmt::format(
+      "{}.{}.{}.{}:{}", Value.Address >> 24U, (Value.Address >> 16U) & 0xFFU,
+      (Value.Address >> 8U) & 0xFFU, Value.Address & 0xFFU, Value.Port);
+}
+
+UpstreamId upstreamId(std::string_view Name) { return {hashName(Name)}; }
+
+ServiceId serviceId(std::string_view Name) { return {hashName(Name)}; }
+
+std::uint64_t hashFlow(const FlowKey &Key) {
+  const std::array<std::uint32_t, 4> Words = {
+      Key.Caller.Address, Key.Caller.Port, Key.Service.Address,
+      Key.Service.Port};
+  return XXH3_64bits(Words.data(), sizeof(Words));
+}
+
+} // namespace mulberryhoist
