--- /dev/null
+++ b/test/log-test.cc
@@ -0,0 +1,83 @@
+#include "mulberryhoist/log.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+namespace mulberryhoist {
+namespace {
+
+template <typename Call> std::string captureLog(Call Write) {
+  testing::internal::CaptureStderr();
+  Write();
+  return testing::internal::GetCapturedStderr();
+}
+
+class LogTextTest : public testing::TestWithParam<std::string_view> {};
+
+// Guards against input that breaks the line structure or loses the line.
+TEST_P(LogTextTest, AnyTextGivesOneParsableLine) {
+  setUpLog("test", LogLevel::Info);
+  const std::string Output = captureLog([] {
+    log(LogLevel::Info, GetParam(), {{"n", 42}});
+  });
+  ASSERT_EQ(Output.find('\n'), Output.size() - 1);
+  const auto Line = nlohmann::json::parse(Output);
+  EXPECT_EQ(Line["n"], 42);
+  EXPECT_EQ(Line["process"], "test");
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts, LogTextTest,
+                         testing::Values("plain", "two\nlines", "quote \" \\",
+                                         "\xff\xfe not UTF-8",
+                                         std::string_view("a\0b", 3)));
+
+// Guards against lines below the lowest level in a production log.
+TEST(LogTest, OmitsLowerLevels) {
+  setUpLog("test", LogLevel::Warning);
+  EXPECT_EQ(captureLog([] { log(LogLevel::Info, "omitted"); }), "");
+  EXPECT_NE(captureLog([] { log(LogLevel::Warning, "written"); }), "");
+}
+
+// Guards against an error that cannot be found by its kind, and against a
+// field that replaces the level of its line.
+TEST(LogTest, ErrorHasKindAndKeepsLevel) {
+  setUpLog("test", LogLevel::Info);
+  const auto Line = nlohmann::json::parse(captureLog([] {
+    logError({ErrorKind::OlderTable, "revision 3"}, {{"level", "debug"}});
+  }));
+  EXPECT_EQ(Line["kind"], "older_table");
+  EXPECT_EQ(Line["level"], "error");
+  EXPECT_EQ(Line["text"], "revision 3");
+}
+
+// Guards against lines of several threads that are mixed with each other.
+TEST(LogTest, ThreadsWriteWholeLines) {
+  setUpLog("test", LogLevel::Info);
+  constexpr int Threads = 4;
+  constexpr int Lines = 200;
+  const std::string Output = captureLog([] {
+    std::vector<std::jthread> Writers;
+    Writers.reserve(Threads);
+    for (int I = 0; I < Threads; ++I) {
+      Writers.emplace_back([] {
+        for (int J = 0; J < Lines; ++J) {
+          log(LogLevel::Info, "a line of some length", {{"number", J}});
+        }
+      });
+    }
+  });
+  std::istringstream Stream(Output);
+  std::string Line;
+  int Count = 0;
+  for (; std::getline(Stream, Line); ++Count) {
+    EXPECT_TRUE(nlohmann::json::accept(Line)) << Line;
+  }
+  EXPECT_EQ(Count, Threads * Lines);
+}
+
+} // namespace
+} // namespace mulberryhoist
