--- a/include/mulberryhoist/settings.h
+++ b/include/mulberryhoist/settings.h
@@ -28,7 +28,8 @@
 
 /// Describes one setting: flag `--name`, variable `MULBERRY_NAME`.
 ///
-/// A flag goes before its environment variable, which goes before `Default`.
+/// A flag goes before its environment variable, which goes before `Default`. An
+/// empty environment variable counts as not set.
 struct SettingSpec {
   std::string_view Name;
   SettingType Type = SettingType::Text;
@@ -36,6 +37,7 @@
   /// Empty together with `Required` means that there is no default.
   std::string_view Default = "";
   bool Required = false;
+  /// The range of a `Number`; both 0 for any number.
   std::int64_t Min = 0;
   std::int64_t Max = 0;
 };
@@ -51,14 +53,18 @@
 /// The checked settings of one process.
 class Settings {
 public:
-  /// Parses flags and environment. An error names flag, value and range.
+  /// Parses flags and environment; the first argument is the program's name,
+  /// as in `main`. An error names flag, value and range of every wrong setting.
+  /// `--check-config`, `--help` and `--version` need no specification.
   static Result<Settings> create(std::span<const SettingSpec> Specs,
                                  std::span<const char *const> Arguments);
 
   SettingsMode mode() const { return this->Mode; }
+  /// The value as text; empty for a setting that has no value.
   std::string_view text(std::string_view Name) const;
   std::int64_t number(std::string_view Name) const;
   bool flag(std::string_view Name) const;
+  /// `0.0.0.0:0` for a setting that has no value.
   Endpoint endpoint(std::string_view Name) const;
   std::span<const Endpoint> endpoints(std::string_view Name) const;
   /// Arguments that are not flags.
