--- /dev/null
+++ b/src/signals.cc
@@ -0,0 +1,54 @@
+#include "mulberryhoist/signals.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+#include <system_error>
+
+namespace mulberryhoist {
+namespace {
+
+sigset_t requestSignals() {
+  sigset_t Set;
+  sigemptyset(&Set);
+  sigaddset(&Set, SIGTERM);
+  sigaddset(&Set, SIGINT);
+  sigaddset(&Set, SIGUSR1);
+  return Set;
+}
+
+} // namespace
+
+Result<void> blockSignals() {
+  const sigset_t Set = requestSignals();
+  const int Code = pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  if (Code != 0) {
+    return makeError(ErrorKind::SystemCall,
+                     fmt::format("cannot block signals: {}",
+                                 std::generic_category().message(Code)));
+  }
+  // A reader of the log or of a connection that goes away must not end the
+  // process; the write reports the failure.
+  (void)std::signal(SIGPIPE, SIG_IGN);
+  return {};
+}
+
+std::optional<SignalRequest> waitForSignal(Duration Timeout) {
+  const sigset_t Set = requestSignals();
+  const Duration Bounded = std::max(Timeout, Duration::zero());
+  const auto Seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(Bounded);
+  const std::chrono::nanoseconds Rest = Bounded - Seconds;
+  const timespec Time = {Seconds.count(), Rest.count()};
+  switch (sigtimedwait(&Set, nullptr, &Time)) {
+  case SIGTERM:
+  case SIGINT:
+    return SignalRequest::Stop;
+  case SIGUSR1:
+    return SignalRequest::Dump;
+  default:
+    return std::nullopt;
+  }
+}
+
+} // namespace mulberryhoist
--- /dev/null
+++ b/src/supervisor.cc
@@ -0,0 +1,165 @@
+#include "mulberryhoist/supervisor.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <fmt/format.h>
+#include <mutex>
+#include <system_error>
+#include <thread>
+
+#include "mulberryhoist/log.h"
+
+namespace mulberryhoist {
+namespace {
+
+constexpr Duration FirstBackOff = std::chrono::milliseconds(50);
+constexpr Duration LongestBackOff = std::chrono::seconds(2);
+
+/// A duty that ran for this long is not failing in a loop; its next failure
+/// starts again with the shortest back-off.
+constexpr Duration StableAfter = std::chrono::seconds(10);
+
+/// Runs a duty once and returns why it ended.
+Error runOnce(const Duty &Task, const std::stop_token &Stop) {
+  try {
+    Result<void> Outcome = Task.Run(Stop);
+    if (!Outcome) {
+      return std::move(Outcome.error());
+    }
+    return {ErrorKind::WorkerFailed, "ended without being asked to stop"};
+  } catch (const std::exception &Problem) {
+    return {ErrorKind::WorkerFailed, Problem.what()};
+  } catch (...) {
+    return {ErrorKind::WorkerFailed, "unknown exception"};
+  }
+}
+
+/// One duty and what is known about it; shared by its thread and `status`.
+class Worker {
+public:
+  explicit Worker(Duty Task) : Task(std::move(Task)) {
+    this->Known.Name = this->Task.Name;
+  }
+
+  /// Runs the duty until a stop is requested.
+  void run(const std::stop_token &Stop) {
+    Duration BackOff = FirstBackOff;
+    while (!Stop.stop_requested()) {
+      const Instant Begin = std::chrono::steady_clock::now();
+      this->setRunning();
+      const Error Problem = runOnce(this->Task, Stop);
+      if (Stop.stop_requested()) {
+        break;
+      }
+      if (std::chrono::steady_clock::now() - Begin >= StableAfter) {
+        BackOff = FirstBackOff;
+      }
+      this->recordFailure(Problem, BackOff);
+      this->sleep(BackOff, Stop);
+      BackOff = std::min(BackOff * 2, LongestBackOff);
+    }
+    const std::scoped_lock Guard(this->Lock);
+    this->Known.Running = false;
+  }
+
+  DutyStatus status() const {
+    const std::scoped_lock Guard(this->Lock);
+    return this->Known;
+  }
+
+private:
+  void setRunning() {
+    const std::scoped_lock Guard(this->Lock);
+    this->Known.Running = true;
+  }
+
+  void recordFailure(const Error &Problem, Duration BackOff) {
+    using std::chrono::milliseconds;
+    std::uint64_t Restarts = 0;
+    {
+      const std::scoped_lock Guard(this->Lock);
+      this->Known.Running = false;
+      this->Known.LastError =
+          fmt::format("{}: {}", errorName(Problem.Kind), Problem.Detail);
+      Restarts = ++this->Known.Restarts;
+    }
+    logError(
+        Problem,
+        {{"duty", this->Task.Name},
+         {"restarts", static_cast<std::int64_t>(Restarts)},
+         {"back_off_ms",
+          std::int64_t{
+              std::chrono::duration_cast<milliseconds>(BackOff).count()}}});
+  }
+
+  void sleep(Duration Time, const std::stop_token &Stop) {
+    std::unique_lock Guard(this->Lock);
+    this->Stopped.wait_for(Guard, Stop, Time, [] { return false; });
+  }
+
+  Duty Task;
+  mutable std::mutex Lock;
+  std::condition_variable_any Stopped;
+  DutyStatus Known;
+};
+
+} // namespace
+
+struct Supervisor::State {
+  /// Threads refer to their worker, so workers outlive the threads.
+  std::vector<std::unique_ptr<Worker>> Workers;
+  std::vector<std::jthread> Threads;
+};
+
+Supervisor::Supervisor(std::unique_ptr<State> Impl) : Impl(std::move(Impl)) {}
+Supervisor::Supervisor(Supervisor &&) noexcept = default;
+Supervisor &Supervisor::operator=(Supervisor &&) noexcept = default;
+
+Supervisor::~Supervisor() {
+  if (this->Impl) {
+    this->stop();
+  }
+}
+
+Result<Supervisor> Supervisor::start(std::vector<Duty> Duties) {
+  auto Impl = std::make_unique<State>();
+  Impl->Threads.reserve(Duties.size());
+  for (Duty &Task : Duties) {
+    Impl->Workers.push_back(std::make_unique<Worker>(std::move(Task)));
+  }
+  for (const std::unique_ptr<Worker> &Entry : Impl->Workers) {
+    try {
+      Impl->Threads.emplace_back(
+          [Entry = Entry.get()](const std::stop_token &Stop) {
+            Entry->run(Stop);
+          });
+    } catch (const std::system_error &Problem) {
+      return makeError(ErrorKind::SystemCall,
+                       fmt::format("cannot start the thread of duty {}: {}",
+                                   Entry->status().Name, Problem.what()));
+    }
+  }
+  return Supervisor(std::move(Impl));
+}
+
+void Supervisor::stop() {
+  for (std::jthread &Thread : this->Impl->Threads) {
+    Thread.request_stop();
+  }
+  for (std::jthread &Thread : this->Impl->Threads) {
+    if (Thread.joinable()) {
+      Thread.join();
+    }
+  }
+}
+
+std::vector<DutyStatus> Supervisor::status() const {
+  std::vector<DutyStatus> List;
+  List.reserve(this->Impl->Workers.size());
+  for (const std::unique_ptr<Worker> &Entry : this->Impl->Workers) {
+    List.push_back(Entry->status());
+  }
+  return List;
+}
+
+} // namespace mulberryhoist
