--- a/include/mulberryhoist/routing.h
+++ b/include/mulberryhoist/routing.h
@@ -57,7 +57,7 @@
 }
 
 /// Writes the candidates of a flow, best first, into `Out` and returns the part
-/// that was written; rows of weight 0 are left out.
+/// that was written, at most 16; rows of weight 0 are left out.
 std::span<UpstreamId> orderCandidates(std::span<const Assignment> Rows,
                                       const FlowKey &Key,
                                       std::span<UpstreamId> Out);
--- a/include/mulberryhoist/table.h
+++ b/include/mulberryhoist/table.h
@@ -74,6 +74,10 @@
 /// An error names the line, the column and the value.
 Result<PublishedTable> parsePublishedTable(std::string_view Csv);
 
+/// Returns the digest of a version and rows that are sorted by key.
+std::uint64_t digestRows(DocumentVersion Version,
+                         std::span<const RowText> Rows);
+
 /// A whole, checked table, indexed for lookups; immutable once made.
 class Table {
 public:
--- /dev/null
+++ b/test/table-test.cc
@@ -0,0 +1,241 @@
+#include "mulberryhoist/table.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <rapidcheck/gtest.h>
+
+namespace mulberryhoist {
+namespace {
+
+constexpr std::string_view Header =
+    "service,address,class,share,upstream,endpoint,zone,weight,slots,"
+    "connections\n";
+
+constexpr std::string_view Rows =
+    "orders,127.1.0.1:80,0,10,u1,127.2.0.1:90,kl-sentral,100,4,2000\n"
+    "orders,127.1.0.1:80,0,10,u2,127.2.0.2:90,ipoh-perak,50,4,2000\n"
+    "prints,127.1.0.2:80,3,5,u1,127.2.0.1:90,kl-sentral,7,4,2000\n"
+    "old,127.1.0.3:80,7,closed,u2,127.2.0.2:90,ipoh-perak,0,4,2000\n";
+
+std::string validCsv() {
+  return fmt::format("{}epoch,3\n{}end,4\n", Header, Rows);
+}
+
+std::string replaced(std::string Text, std::string_view From,
+                     std::string_view To) {
+  const auto Where = Text.find(From);
+  EXPECT_NE(Where, std::string::npos) << From;
+  return Text.replace(Where, From.size(), To);
+}
+
+TEST(TableTest, IndexesServicesUpstreamsAndRows) {
+  const auto Made = Table::fromCsv(validCsv(), 9);
+  ASSERT_TRUE(Made) << Made.error().Detail;
+  EXPECT_EQ(Made->version(), (TableVersion{3, 9}));
+  ASSERT_EQ(Made->services().size(), 3U);
+  const Service *Orders = Made->findService(*parseEndpoint("127.1.0.1:80"));
+  ASSERT_NE(Orders, nullptr);
+  EXPECT_EQ(Orders->Id, serviceId("orders"));
+  EXPECT_EQ(Made->findService(serviceId("old"))->Closed, true);
+  EXPECT_EQ(Made->assignments(serviceId("orders")).size(), 2U);
+  EXPECT_EQ(Made->assignments(upstreamId("u1")).size(), 2U);
+  EXPECT_EQ(Made->findUpstream(*parseEndpoint("127.2.0.2:90"))->Name, "u2");
+  EXPECT_EQ(Made->findService(*parseEndpoint("127.9.9.9:80")), nullptr);
+}
+
+// Guards against a digest that depends on how the file was written.
+TEST(TableTest, DigestDependsOnContentOnly) {
+  const auto Plain = Table::fromCsv(validCsv(), 9);
+  std::string Windows;
+  for (const char Letter : validCsv()) {
+    Windows += Letter == '\n' ? "\r\n" : std::string(1, Letter);
+  }
+  const auto Other =
+      Table::fromCsv(replaced(Windows, "orders,", "\"orders\" ,"), 9);
+  ASSERT_TRUE(Other) << Other.error().Detail;
+  EXPECT_EQ(Plain->digest(), Other->digest());
+  EXPECT_NE(Plain->digest(), Table::fromCsv(validCsv(), 10)->digest());
+}
+
+// Guards against losing flows of a service whose address or rows moved: the
+// locate group must include recently removed rows.
+TEST(TableTest, RemovedRowsStayInTheLocateGroup) {
+  const auto Published = parsePublishedTable(validCsv());
+  const std::vector<RowText> Removed = {
+      {"gone/u9", "gone,127.1.0.1:80,0,1,u9,127.2.0.9:90,kl-sentral,1,4,2000"}};
+  const auto Made = Table::create({3, 9}, Published->Rows, Removed);
+  ASSERT_TRUE(Made) << Made.error().Detail;
+  EXPECT_EQ(Made->locateGroup(*parseEndpoint("127.1.0.1:80")).size(), 3U);
+  EXPECT_NE(Made->findUpstream(upstreamId("u9")), nullptr);
+  EXPECT_EQ(Made->upstreams().size(), 2U);
+  EXPECT_EQ(Made->findService(serviceId("gone")), nullptr);
+  EXPECT_EQ(Made->digest(), Table::fromCsv(validCsv(), 9)->digest());
+}
+
+struct BadCell {
+  std::string_view From;
+  std::string_view To;
+  /// Parts that the error must name: line, column and value.
+  std::vector<std::string_view> Named;
+};
+
+class BadTableTest : public testing::TestWithParam<BadCell> {};
+
+// Guards against a wrong cell that comes into force, and against an error that
+// does not tell the operator where to look.
+TEST_P(BadTableTest, ErrorNamesLineColumnAndValue) {
+  const auto Made =
+      Table::fromCsv(replaced(validCsv(), GetParam().From, GetParam().To), 1);
+  ASSERT_FALSE(Made);
+  for (const std::string_view Part : GetParam().Named) {
+    EXPECT_NE(Made.error().Detail.find(Part), std::string::npos)
+        << Made.error().Detail << " lacks " << Part;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cells, BadTableTest,
+    testing::Values(
+        BadCell{"class,", "klass,", {"line 1", "'klass'", "not a known"}},
+        BadCell{"class,share", "class,class", {"line 1", "'class'", "twice"}},
+        BadCell{"class,", "", {"line 1", "'class'", "missing"}},
+        BadCell{"orders,", "Orders,", {"line 3", "service", "'Orders'"}},
+        BadCell{"127.1.0.1:80", "127.1.0:80", {"line 3", "address", "127.1.0"}},
+        BadCell{"127.1.0.1:80", "127.1.0.1:0", {"line 3", "address", ":0'"}},
+        BadCell{"80,0,10", "80,8,10", {"line 3", "class", "'8'"}},
+        BadCell{"80,0,10", "80,0,0", {"line 3", "share", "'0'"}},
+        BadCell{"80,0,10", "80,0,1001", {"line 3", "share", "'1001'"}},
+        BadCell{"u1,", "u_1,", {"line 3", "upstream", "'u_1'"}},
+        BadCell{"kl-sentral", "KL", {"line 3", "zone", "'KL'"}},
+        BadCell{"100,4", "1001,4", {"line 3", "weight", "'1001'"}},
+        BadCell{"100,4", "-1,4", {"line 3", "weight", "'-1'"}},
+        BadCell{"100,4", "100,0", {"line 3", "slots", "'0'"}},
+        BadCell{"100,4", "100,1025", {"line 3", "slots", "'1025'"}},
+        BadCell{"4,2000", "4,1000001", {"line 3", "connections", "1000001"}},
+        BadCell{"4,2000", "4,", {"line 3", "connections", "''"}},
+        BadCell{"4,2000\n", "4\n", {"line 3", "column", "u1", "10"}},
+        BadCell{"4,2000\n", "4,2000,\n", {"line 3", "column", "u1", "10"}},
+        BadCell{"orders,", "\"orders,", {"line", "column", "orders"}},
+        BadCell{"orders,127.1.0.1:80,0,10,u2",
+                "orders,127.1.0.1:81,0,10,u2",
+                {"line 4", "address", "127.1.0.1:81", "differs"}},
+        BadCell{"0,10,u2", "1,10,u2", {"line 4", "class", "'1'", "differs"}},
+        BadCell{"0,10,u2", "0,11,u2", {"line 4", "share", "'11'", "differs"}},
+        BadCell{"0,10,u2", "0,closed,u2", {"line 4", "weight", "'50'"}},
+        BadCell{"127.2.0.1:90,kl-sentral,7",
+                "127.2.0.7:90,kl-sentral,7",
+                {"line 5", "endpoint", "127.2.0.7:90", "differs"}},
+        BadCell{"kl-sentral,7", "kl-x,7", {"line 5", "zone", "kl-x"}},
+        BadCell{"7,4,2000", "7,5,2000", {"line 5", "slots", "'5'"}},
+        BadCell{"7,4,2000", "7,4,2001", {"line 5", "connections", "'2001'"}},
+        BadCell{"127.1.0.2:80",
+                "127.1.0.1:80",
+                {"line 5", "address", "127.1.0.1:80", "service orders"}},
+        BadCell{"u2,127.2.0.2:90",
+                "u2,127.2.0.1:90",
+                {"line 4", "endpoint", "127.2.0.1:90", "upstream u1"}},
+        BadCell{"u2,127.2.0.2:90,ipoh-perak,50",
+                "u1,127.2.0.1:90,kl-sentral,50",
+                {"line 4", "upstream", "'u1'", "duplicate"}},
+        BadCell{
+            "sentral,7", "sentral,0", {"line 5", "weight", "'0'", "closed"}},
+        BadCell{"perak,0", "perak,1", {"line 6", "weight", "'1'"}},
+        BadCell{"epoch,3", "epoch,x", {"line 2", "address", "'x'"}},
+        BadCell{"epoch,3", "epoch,4294967296", {"line 2", "4294967296"}},
+        BadCell{"end,4", "end,3", {"line 7", "address", "'3'"}},
+        BadCell{"end,4\n", "end,4\n\n", {"line 8"}},
+        BadCell{"end,4\n", "end,4\nend,4\n", {"line 8", "'4'"}},
+        BadCell{"end,4\n", "", {"line 6", "service", "'old'"}}));
+
+// Guards against an empty spreadsheet that drains the whole fleet.
+TEST(TableTest, RejectsATableWithoutServices) {
+  EXPECT_FALSE(Table::fromCsv(fmt::format("{}end,0\n", Header), 1));
+  EXPECT_FALSE(Table::create({1, 1}, {}));
+}
+
+// Guards against rows of another process that do not belong to their key.
+TEST(TableTest, RejectsRowsThatDoNotBelongToTheirKey) {
+  auto Published = *parsePublishedTable(validCsv());
+  Published.Rows[0].Key = "old/u3";
+  EXPECT_FALSE(Table::create({1, 1}, Published.Rows));
+  Published = *parsePublishedTable(validCsv());
+  Published.Rows[0].Value += "\n" + Published.Rows[1].Value;
+  EXPECT_FALSE(Table::create({1, 1}, Published.Rows));
+}
+
+// Guards against a half-written value: no proper beginning may be accepted.
+TEST(TableTest, RejectsEveryTruncatedValue) {
+  const std::string Whole = validCsv();
+  for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+    ASSERT_FALSE(parsePublishedTable(Whole.substr(0, Length))) << Length;
+  }
+}
+
+/// A table is internally consistent and survives a round trip of its rows.
+void checkOutcome(const std::string &Csv) {
+  const auto Published = parsePublishedTable(Csv);
+  if (!Published) {
+    RC_ASSERT(!Published.error().Detail.empty());
+    return;
+  }
+  const auto Made = Table::create({Published->Epoch, 1}, Published->Rows);
+  RC_ASSERT(Made.has_value());
+  RC_ASSERT(!Made->services().empty());
+  for (const Service &Each : Made->services()) {
+    RC_ASSERT(!Made->assignments(Each.Id).empty());
+    RC_ASSERT(Made->findService(Each.Address) != nullptr);
+  }
+}
+
+RC_GTEST_PROP(TableFuzzTest, RandomBytesNeverCrash, ()) {
+  checkOutcome(*rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+  checkOutcome(std::string(Header) +
+               *rc::gen::container<std::string>(
+                   rc::gen::elementOf(std::string("ae0129.:,-\n\r\"\t end"))));
+}
+
+RC_GTEST_PROP(TableFuzzTest, MutatedTablesNeverCrash, ()) {
+  std::string Csv = validCsv();
+  const auto Count = *rc::gen::inRange(1, 6);
+  for (int I = 0; I < Count; ++I) {
+    const auto Where = *rc::gen::inRange<std::size_t>(0, Csv.size());
+    const auto Length = *rc::gen::inRange<std::size_t>(0, 40);
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      Csv[Where] = *rc::gen::arbitrary<char>();
+      break;
+    case 1:
+      Csv.erase(Where, Length);
+      break;
+    case 2:
+      Csv.insert(Where, Csv.substr(Where, Length));
+      break;
+    default:
+      Csv[Where] = *rc::gen::elementOf(std::string(",\n\r\"0189a-"));
+      break;
+    }
+    if (Csv.empty()) {
+      break;
+    }
+  }
+  checkOutcome(Csv);
+}
+
+RC_GTEST_PROP(TableFuzzTest, GeneratedTablesAreRejectedAtEveryCut, ()) {
+  const auto Weights = *rc::gen::nonEmpty(
+      rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 1001)));
+  std::string Csv(Header);
+  for (std::size_t I = 0; I < Weights.size(); ++I) {
+    Csv += fmt::format("s,127.1.0.1:80,1,1,u{},127.2.0.1:{},z,{},4,20\n", I,
+                       I + 1, Weights[I]);
+  }
+  Csv += fmt::format("end,{}\n", Weights.size());
+  RC_ASSERT(parsePublishedTable(Csv).has_value());
+  const auto Cut = *rc::gen::inRange<std::size_t>(0, Csv.size());
+  RC_ASSERT(!parsePublishedTable(Csv.substr(0, Cut)).has_value());
+}
+
+} // namespace
+} // namespace mulberryhoist
