--- a/include/mulberryhoist/membership.h
+++ b/include/mulberryhoist/membership.h
@@ -46,6 +46,9 @@
 /// Parses lines `name,role,zone,state,control_address,data_address`.
 Result<VmList> parseVmList(std::string_view Text, DocumentVersion Version);
 
+/// Formats a VM as the line that `parseVmList` reads.
+std::string formatVm(const Vm &Value);
+
 /// Number of processes in each availability zone that read the configuration
 /// service while they are in touch.
 inline constexpr std::size_t ReadersPerZone = 2;
--- /dev/null
+++ b/test/membership-test.cc
@@ -0,0 +1,147 @@
+#include "mulberryhoist/membership.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace mulberryhoist {
+namespace {
+
+constexpr std::string_view Line =
+    "b1,balancer,kl-sentral,live,127.3.0.1:70,127.3.0.1:71\n";
+
+struct BadLine {
+  std::string_view From;
+  std::string_view To;
+};
+
+class BadVmListTest : public testing::TestWithParam<BadLine> {};
+
+// Guards against a damaged list that replaces a good one.
+TEST_P(BadVmListTest, IsRejected) {
+  ASSERT_TRUE(parseVmList(Line, {}));
+  std::string Text(Line);
+  Text.replace(Text.find(GetParam().From), GetParam().From.size(),
+               GetParam().To);
+  const auto List = parseVmList(Text, {});
+  ASSERT_FALSE(List);
+  EXPECT_NE(List.error().Detail.find("VM list"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines, BadVmListTest,
+    testing::Values(BadLine{"b1", ""}, BadLine{"b1", "B1"},
+                    BadLine{"balancer", "router"}, BadLine{"kl-", "kl_"},
+                    BadLine{"live", "gone"}, BadLine{"127.3.0.1:70", "x"},
+                    BadLine{"0.1:71", "0.1:0"}, BadLine{",live", ""},
+                    BadLine{"live,", "live,,"}, BadLine{":71\n", ":71"},
+                    BadLine{":71\n", ":71\n\n"},
+                    BadLine{":71\n", ":71\nb1,agent,z,live,127.0.0.1:1,127.0."
+                                     "0.1:2\n"}));
+
+RC_GTEST_PROP(VmListFuzzTest, AnyBytesGiveAListOrAnError, ()) {
+  std::string Text(Line);
+  Text += *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+  Text += Line;
+  Text.erase(*rc::gen::inRange<std::size_t>(0, Text.size()),
+             *rc::gen::inRange<std::size_t>(0, 9));
+  const auto List = parseVmList(Text, {1, 2});
+  for (const Vm &Each : List ? List->Vms : std::vector<Vm>()) {
+    RC_ASSERT(List->find(Each.Name) == &Each);
+    RC_ASSERT(parseVmList(formatVm(Each) + "\n", {})->Vms.size() == 1U);
+  }
+}
+
+/// A fleet of `PerZone` balancers and agents in each zone.
+VmList fleet(std::size_t PerZone) {
+  std::string Text;
+  unsigned Number = 0;
+  for (const std::string_view Zone : {"a-1", "a-2", "a-3", "b-1", "c-1"}) {
+    for (std::size_t I = 0; I < 2 * PerZone; ++I) {
+      ++Number;
+      Text += fmt::format("{}{},{},{},live,127.3.{}.{}:70,127.3.{}.{}:71\n",
+                          I % 2 == 0 ? "b" : "u", Number,
+                          I % 2 == 0 ? "balancer" : "agent", Zone, Number / 250,
+                          Number % 250, Number / 250, Number % 250);
+    }
+  }
+  return *parseVmList(Text, {});
+}
+
+// Guards against zones without readers and against too many calls.
+TEST(MembershipTest, TwoLiveBalancersOfEachZoneAreReaders) {
+  VmList List = fleet(6);
+  // In the second round the readers of the first one are leaving.
+  for (int Round = 0; Round < 2; ++Round) {
+    std::map<std::string, std::size_t> Readers;
+    VmList Next = List;
+    for (std::size_t I = 0; I < List.Vms.size(); ++I) {
+      if (isReader(List, List.Vms[I].Name)) {
+        EXPECT_EQ(List.Vms[I].Role, VmRole::Balancer);
+        ++Readers[List.Vms[I].AvailabilityZone];
+        Next.Vms[I].State = VmState::Leaving;
+      }
+    }
+    EXPECT_EQ(Readers.size(), 5U);
+    for (const auto &[Zone, Count] : Readers) {
+      EXPECT_EQ(Count, ReadersPerZone) << Zone;
+    }
+    List = Next;
+  }
+  EXPECT_TRUE(isReader(List, "not-listed"));
+}
+
+TEST(MembershipTest, ChoosesNeighboursInZoneOtherZonesAndOtherRegion) {
+  const VmList List = fleet(6);
+  const Vm *Own = List.find("b1");
+  ASSERT_NE(Own, nullptr);
+  const auto Chosen = chooseNeighbours(List, "b1", Own->AvailabilityZone);
+  std::size_t SameZone = 0;
+  std::size_t SameRegion = 0;
+  for (const Endpoint Each : Chosen) {
+    const auto Found =
+        std::find_if(List.Vms.begin(), List.Vms.end(),
+                     [Each](const Vm &One) { return One.Control == Each; });
+    ASSERT_NE(Found, List.Vms.end());
+    EXPECT_NE(Found->Name, "b1");
+    SameZone += Found->AvailabilityZone == "a-1" ? 1U : 0U;
+    SameRegion += Found->AvailabilityZone.starts_with("a-") ? 1U : 0U;
+  }
+  EXPECT_EQ(Chosen.size(), 7U);
+  EXPECT_EQ(SameZone, 4U);
+  EXPECT_EQ(SameRegion, 6U);
+  EXPECT_EQ(std::set<Endpoint>(Chosen.begin(), Chosen.end()).size(), 7U);
+  EXPECT_TRUE(chooseNeighbours({}, "b1", "a-1").empty());
+}
+
+// Guards against a fleet that splits into groups which never exchange.
+TEST(MembershipTest, NeighboursConnectTheFleet) {
+  const VmList List = fleet(20);
+  std::map<Endpoint, std::set<Endpoint>> Links;
+  for (const Vm &Each : List.Vms) {
+    for (const Endpoint Other :
+         chooseNeighbours(List, Each.Name, Each.AvailabilityZone)) {
+      Links[Each.Control].insert(Other);
+      Links[Other].insert(Each.Control);
+    }
+  }
+  std::set<Endpoint> Reached = {List.Vms.front().Control};
+  std::vector<Endpoint> Open(Reached.begin(), Reached.end());
+  while (!Open.empty()) {
+    const Endpoint Each = Open.back();
+    Open.pop_back();
+    for (const Endpoint Other : Links[Each]) {
+      if (Reached.insert(Other).second) {
+        Open.push_back(Other);
+      }
+    }
+  }
+  EXPECT_EQ(Reached.size(), List.Vms.size());
+}
+
+} // namespace
+} // namespace mulberryhoist
