--- /dev/null
+++ b/src/packet.cc
@@ -0,0 +1,165 @@
+#include "mulberryhoist/packet.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <netinet/ip.h>
+#include <netinet/tcp.h>
+
+namespace mulberryhoist {
+namespace {
+
+constexpr std::size_t WordBytes = 4;
+constexpr std::uint8_t ResetTimeToLive = 64;
+
+/// The fields that the TCP checksum covers besides the segment (RFC 9293).
+struct PseudoHeader {
+  std::uint32_t Source;
+  std::uint32_t Destination;
+  std::uint8_t Zero;
+  std::uint8_t Protocol;
+  std::uint16_t Length;
+};
+static_assert(sizeof(PseudoHeader) == 12, "no padding inside the checksum");
+
+/// Adds bytes to a ones' complement sum. The sum is kept in native byte order,
+/// which gives the same checksum bytes (RFC 1071).
+std::uint64_t addToSum(std::uint64_t Sum, PacketBytes Bytes) {
+  while (Bytes.size() >= WordBytes) {
+    std::uint32_t Word = 0;
+    std::memcpy(&Word, Bytes.data(), WordBytes);
+    Sum += Word;
+    Bytes = Bytes.subspan(WordBytes);
+  }
+  std::uint32_t Rest = 0;
+  if (!Bytes.empty()) {
+    std::memcpy(&Rest, Bytes.data(), Bytes.size());
+  }
+  return Sum + Rest;
+}
+
+std::uint16_t foldSum(std::uint64_t Sum) {
+  constexpr unsigned Half = 16;
+  while ((Sum >> Half) != 0) {
+    Sum = (Sum & 0xFFFFU) + (Sum >> Half);
+  }
+  return static_cast<std::uint16_t>(Sum);
+}
+
+/// True if the sum of the covered bytes, checksum field included, is right.
+bool isWhole(std::uint64_t Sum) { return foldSum(Sum) == 0xFFFFU; }
+
+template <typename T> PacketBytes bytesOf(const T &Value) {
+  return {reinterpret_cast<const std::uint8_t *>(&Value), sizeof(T)};
+}
+
+std::uint64_t segmentSum(const iphdr &Ip, PacketBytes Segment) {
+  const PseudoHeader Pseudo = {Ip.saddr, Ip.daddr, 0, IPPROTO_TCP,
+                               htons(static_cast<uint16_t>(Segment.size()))};
+  return addToSum(addToSum(0, bytesOf(Pseudo)), Segment);
+}
+
+/// Returns the header, after its checks, of a packet that holds TCP.
+Result<iphdr> parseIpHeader(PacketBytes Bytes) {
+  constexpr unsigned MinHeaderWords = 5;
+  iphdr Ip = {};
+  if (Bytes.size() < sizeof(Ip)) {
+    return makeError(ErrorKind::MalformedPacket, "shorter than IPv4 header");
+  }
+  std::memcpy(&Ip, Bytes.data(), sizeof(Ip));
+  const std::size_t HeaderBytes = Ip.ihl * WordBytes;
+  if (Ip.version != IPVERSION || Ip.ihl < MinHeaderWords ||
+      HeaderBytes > Bytes.size()) {
+    return makeError(ErrorKind::MalformedPacket, "no IPv4 header");
+  }
+  if (ntohs(Ip.tot_len) != Bytes.size()) {
+    return makeError(ErrorKind::MalformedPacket, "wrong total length");
+  }
+  if ((ntohs(Ip.frag_off) & (IP_MF | IP_OFFMASK)) != 0) {
+    return makeError(ErrorKind::MalformedPacket, "fragment");
+  }
+  if (Ip.protocol != IPPROTO_TCP) {
+    return makeError(ErrorKind::MalformedPacket, "not TCP");
+  }
+  if (!isWhole(addToSum(0, Bytes.first(HeaderBytes)))) {
+    return makeError(ErrorKind::MalformedPacket, "wrong IPv4 checksum");
+  }
+  return Ip;
+}
+
+ResetPacket buildReset(Endpoint Source, Endpoint Destination,
+                       std::uint32_t Sequence, bool Acknowledges,
+                       std::uint32_t Acknowledgment) {
+  iphdr Ip = {};
+  Ip.version = IPVERSION;
+  Ip.ihl = sizeof(iphdr) / WordBytes;
+  Ip.tot_len = htons(ResetPacketSize);
+  Ip.frag_off = htons(IP_DF);
+  Ip.ttl = ResetTimeToLive;
+  Ip.protocol = IPPROTO_TCP;
+  Ip.saddr = htonl(Source.Address);
+  Ip.daddr = htonl(Destination.Address);
+  Ip.check = static_cast<std::uint16_t>(~foldSum(addToSum(0, bytesOf(Ip))));
+
+  tcphdr Tcp = {};
+  Tcp.source = htons(Source.Port);
+  Tcp.dest = htons(Destination.Port);
+  Tcp.seq = htonl(Sequence);
+  Tcp.ack_seq = htonl(Acknowledgment);
+  Tcp.doff = sizeof(tcphdr) / WordBytes;
+  Tcp.rst = 1;
+  Tcp.ack = Acknowledges ? 1 : 0;
+  Tcp.check =
+      static_cast<std::uint16_t>(~foldSum(segmentSum(Ip, bytesOf(Tcp))));
+
+  static_assert(sizeof(Ip) + sizeof(Tcp) == ResetPacketSize);
+  ResetPacket Packet;
+  std::memcpy(Packet.data(), &Ip, sizeof(Ip));
+  std::memcpy(Packet.data() + sizeof(Ip), &Tcp, sizeof(Tcp));
+  return Packet;
+}
+
+} // namespace
+
+Result<PacketView> parsePacket(PacketBytes Bytes) {
+  const auto Ip = parseIpHeader(Bytes);
+  if (!Ip) {
+    return tl::unexpected<Error>(Ip.error());
+  }
+  const PacketBytes Segment = Bytes.subspan(Ip->ihl * WordBytes);
+  tcphdr Tcp = {};
+  if (Segment.size() < sizeof(Tcp)) {
+    return makeError(ErrorKind::MalformedPacket, "shorter than TCP header");
+  }
+  std::memcpy(&Tcp, Segment.data(), sizeof(Tcp));
+  const std::size_t HeaderBytes = Tcp.doff * WordBytes;
+  if (HeaderBytes < sizeof(Tcp) || HeaderBytes > Segment.size()) {
+    return makeError(ErrorKind::MalformedPacket, "wrong TCP data offset");
+  }
+  if (!isWhole(segmentSum(*Ip, Segment))) {
+    return makeError(ErrorKind::MalformedPacket, "wrong TCP checksum");
+  }
+  PacketView View;
+  View.Source = {ntohl(Ip->saddr), ntohs(Tcp.source)};
+  View.Destination = {ntohl(Ip->daddr), ntohs(Tcp.dest)};
+  View.Sequence = ntohl(Tcp.seq);
+  View.Acknowledgment = ntohl(Tcp.ack_seq);
+  View.Flags = {Tcp.syn != 0, Tcp.ack != 0, Tcp.fin != 0, Tcp.rst != 0,
+                Tcp.psh != 0};
+  View.Payload = Segment.subspan(HeaderBytes);
+  return View;
+}
+
+ResetPacket makeResetFor(const PacketView &Packet) {
+  if (Packet.Flags.Ack) {
+    return makeReset(Packet.Destination, Packet.Source, Packet.Acknowledgment);
+  }
+  return buildReset(Packet.Destination, Packet.Source, 0, true,
+                    Packet.nextSequence());
+}
+
+ResetPacket makeReset(Endpoint Source, Endpoint Destination,
+                      std::uint32_t Sequence) {
+  return buildReset(Source, Destination, Sequence, false, 0);
+}
+
+} // namespace mulberryhoist
