--- a/test/datagram-test.cc
+++ b/test/datagram-test.cc
@@ -2,36 +2,12 @@
 
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <cstdlib>
-#include <new>
+#include <algorithm>
 #include <vector>
 
+#include "allocation-counter.h"
 #include "mulberryhoist/wire.h"
 
-namespace {
-
-std::atomic<std::size_t> Allocations{0};
-
-} // namespace
-
-// Not inlined: g++ 12 otherwise reports the pair of new and free as mismatched.
-[[gnu::noinline]] void *operator new(std::size_t Size) {
-  Allocations.fetch_add(1, std::memory_order_relaxed);
-  if (void *Memory = std::malloc(Size)) {
-    return Memory;
-  }
-  throw std::bad_alloc();
-}
-
-[[gnu::noinline]] void operator delete(void *Memory) noexcept {
-  std::free(Memory);
-}
-
-[[gnu::noinline]] void operator delete(void *Memory, std::size_t) noexcept {
-  std::free(Memory);
-}
-
 namespace mulberryhoist {
 namespace {
 
@@ -76,13 +52,13 @@
   DatagramSocket Sender = openSocket();
   DatagramSocket Receiver = openSocket();
   const std::vector<std::uint8_t> Bytes(1500, 1);
-  const std::size_t Before = Allocations.load();
+  const AllocationProbe Probe;
   for (int I = 0; I < 100; ++I) {
     (void)Sender.send(Receiver.address(), Bytes);
     Receiver.wait(LongWait);
     (void)Receiver.receive();
   }
-  EXPECT_EQ(Allocations.load(), Before);
+  EXPECT_EQ(Probe.count(), 0U);
 }
 
 // Guards against a data thread that blocks when nothing arrives.
