--- /dev/null
+++ b/test/replication-test.cc
@@ -0,0 +1,557 @@
+#include "mulberryhoist/replication.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+#include <set>
+
+namespace mulberryhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t InstanceCount = 6;
+constexpr milliseconds Latency{50};
+constexpr milliseconds Turn{100};
+/// Bound of guarantee G8.
+constexpr seconds InForceBound{9};
+
+Result<void> checkTable(const DocumentContent &Content) {
+  const auto Made =
+      Table::create(Content.Version, Content.Rows, Content.Removed);
+  if (!Made) {
+    return tl::unexpected<Error>(Made.error());
+  }
+  return {};
+}
+
+Endpoint address(std::size_t Instance) {
+  return {0x7F000001U, static_cast<std::uint16_t>(1000 + Instance)};
+}
+
+std::string csv(std::uint32_t Epoch, const std::map<int, int> &Weights) {
+  std::string Text = "service,address,class,share,upstream,endpoint,zone,"
+                     "weight,slots,connections\n";
+  Text += fmt::format("epoch,{}\n", Epoch);
+  for (const auto &[Number, Weight] : Weights) {
+    Text += fmt::format("s,127.1.0.1:80,0,1,u{},127.2.0.1:{},z-1,{},4,20\n",
+                        Number, Number + 1, Weight);
+  }
+  return Text + fmt::format("end,{}\n", Weights.size());
+}
+
+struct PublishedValue {
+  std::uint64_t Revision = 0;
+  std::string Csv;
+};
+
+/// A message on its way.
+struct InTransit {
+  std::size_t From = 0;
+  std::size_t To = 0;
+  ExchangeMessage Body;
+  Instant Due;
+};
+
+/// The fleet, the network between its processes and the configuration service.
+class Simulation {
+public:
+  Simulation() {
+    for (std::size_t I = 0; I < InstanceCount; ++I) {
+      this->restart(I);
+    }
+    this->publish(1, 0);
+  }
+
+  void publish(int Weight, int Removed) {
+    std::map<int, int> Weights;
+    for (int I = 0; I < 4; ++I) {
+      if (I != Removed % 8) {
+        Weights[I] = 1 + (Weight + I * 7) % 1000;
+      }
+    }
+    ++this->Revision;
+    this->add({this->Revision, csv(this->Epoch, Weights)});
+  }
+
+  /// Serves an earlier value again, so that later revisions repeat.
+  void restore(std::size_t Which) {
+    this->Serving = Which % this->Values.size();
+    this->Revision = this->Values[this->Serving].Revision;
+  }
+
+  void raiseEpoch(int Weight) {
+    ++this->Epoch;
+    this->publish(Weight, 0);
+  }
+
+  /// Reads the value that is served, an earlier one, or half of one.
+  void read(std::size_t Instance, std::size_t Kind) {
+    const std::size_t Which =
+        Kind % 4 == 1 ? Kind % this->Values.size() : this->Serving;
+    const PublishedValue &Value = this->Values[Which];
+    std::string Csv = Value.Csv;
+    if (Kind % 4 == 2) {
+      Csv.resize(Kind % Csv.size());
+    }
+    const auto Parsed = parsePublishedTable(Csv);
+    Replica &Own = this->Replicas[Instance];
+    if (!Parsed) {
+      Own.reject(Parsed.error());
+      return;
+    }
+    std::vector<OutgoingMessage> Out;
+    (void)Own.offerRead({Parsed->Epoch, Value.Revision}, Parsed->Rows,
+                        this->Now, Out);
+    this->send(Instance, std::move(Out));
+  }
+
+  void restart(std::size_t Instance) {
+    std::vector<Endpoint> Neighbours;
+    for (const std::size_t Step : {1, 2}) {
+      Neighbours.push_back(address((Instance + Step) % InstanceCount));
+    }
+    if (this->Replicas.size() <= Instance) {
+      this->Replicas.emplace_back(DocumentKind::Table, checkTable, Instance);
+    } else {
+      this->Replicas[Instance] =
+          Replica(DocumentKind::Table, checkTable, Instance + this->Revision);
+    }
+    this->Replicas[Instance].setNeighbours(Neighbours);
+    this->Lowest[Instance] = {};
+  }
+
+  /// Delivers any message, so that messages overtake each other.
+  void deliver(std::size_t Which, bool Duplicate) {
+    if (this->Messages.empty()) {
+      return;
+    }
+    Which %= this->Messages.size();
+    const InTransit Message = this->Messages[Which];
+    if (!Duplicate) {
+      this->lose(Which);
+    }
+    if (this->Side[Message.From] != this->Side[Message.To]) {
+      return;
+    }
+    std::vector<OutgoingMessage> Out;
+    this->Replicas[Message.To].receive(address(Message.From), Message.Body,
+                                       this->Now, Out);
+    this->send(Message.To, std::move(Out));
+  }
+
+  void lose(std::size_t Which) {
+    if (!this->Messages.empty()) {
+      this->Messages.erase(
+          this->Messages.begin() +
+          static_cast<std::ptrdiff_t>(Which % this->Messages.size()));
+    }
+  }
+
+  void partition(std::size_t Mask) {
+    for (std::size_t I = 0; I < InstanceCount; ++I) {
+      this->Side[I] = (Mask >> I) & 1U;
+    }
+  }
+
+  void tick(std::size_t Instance) {
+    this->Now += Turn;
+    std::vector<OutgoingMessage> Out;
+    this->Replicas[Instance].tick(this->Now, Out);
+    this->send(Instance, std::move(Out));
+  }
+
+  /// Removes the partition and lets the fleet run without loss; two instances
+  /// read if the service is up.
+  void heal(bool ServiceUp) {
+    this->partition(0);
+    const Instant End = this->Now + InForceBound;
+    for (int Round = 0; this->Now < End; ++Round) {
+      this->Now += Turn;
+      for (std::size_t I = 0; I < this->Messages.size();) {
+        if (this->Messages[I].Due <= this->Now) {
+          this->deliver(I, false);
+        } else {
+          ++I;
+        }
+      }
+      for (std::size_t I = 0; I < InstanceCount; ++I) {
+        if (static_cast<std::size_t>(Round) % 10 == I) {
+          std::vector<OutgoingMessage> Out;
+          this->Replicas[I].tick(this->Now, Out);
+          this->send(I, std::move(Out));
+          if (ServiceUp && I < 2) {
+            this->read(I, 0);
+          }
+        }
+      }
+    }
+  }
+
+  std::pair<DocumentVersion, std::uint64_t> content(std::size_t I) const {
+    return {this->Replicas[I].version(), this->Replicas[I].digest()};
+  }
+
+  /// The greatest content of any instance and, if it is up, of the service.
+  std::pair<DocumentVersion, std::uint64_t> newest(bool ServiceUp) const {
+    std::pair<DocumentVersion, std::uint64_t> Best;
+    for (std::size_t I = 0; I < InstanceCount; ++I) {
+      Best = std::max(Best, this->content(I));
+    }
+    if (ServiceUp) {
+      const PublishedValue &Value = this->Values[this->Serving];
+      const auto Made = Table::fromCsv(Value.Csv, Value.Revision);
+      Best = std::max(Best, std::pair(Made->version(), Made->digest()));
+    }
+    return Best;
+  }
+
+  /// No instance goes back, and each has exactly a published content.
+  void checkInvariants() {
+    for (std::size_t I = 0; I < InstanceCount; ++I) {
+      const auto Content = this->content(I);
+      RC_ASSERT(Content >= this->Lowest[I]);
+      if (Content == this->Lowest[I]) {
+        continue;
+      }
+      this->Lowest[I] = Content;
+      const auto Known = this->Published.find(Content);
+      RC_ASSERT(Known != this->Published.end());
+      RC_ASSERT(Known->second == this->Replicas[I].content().Rows);
+    }
+  }
+
+private:
+  void add(PublishedValue Value) {
+    const auto Parsed = parsePublishedTable(Value.Csv);
+    ASSERT_TRUE(Parsed) << Parsed.error().Detail;
+    const DocumentVersion Version = {Parsed->Epoch, Value.Revision};
+    this->Published[{Version, digestRows(Version, Parsed->Rows)}] =
+        Parsed->Rows;
+    this->Values.push_back(std::move(Value));
+    this->Serving = this->Values.size() - 1;
+  }
+
+  void send(std::size_t From, std::vector<OutgoingMessage> Out) {
+    for (OutgoingMessage &Each : Out) {
+      this->Messages.push_back({From, Each.To.Port - std::size_t{1000},
+                                std::move(Each.Body), this->Now + Latency});
+    }
+  }
+
+  Instant Now{std::chrono::hours(100)};
+  std::vector<Replica> Replicas;
+  std::vector<InTransit> Messages;
+  std::array<std::size_t, InstanceCount> Side{};
+  std::array<std::pair<DocumentVersion, std::uint64_t>, InstanceCount> Lowest;
+  std::uint32_t Epoch = 0;
+  std::uint64_t Revision = 0;
+  std::size_t Serving = 0;
+  std::vector<PublishedValue> Values;
+  /// The oracle: every published content.
+  std::map<std::pair<DocumentVersion, std::uint64_t>, std::vector<RowText>>
+      Published;
+};
+
+/// The model only counts steps; the oracle is in the simulation.
+struct Model {
+  int Steps = 0;
+};
+
+enum class StepKind : std::uint8_t {
+  Publish,
+  Restore,
+  RaiseEpoch,
+  Read,
+  Restart,
+  Deliver,
+  Duplicate,
+  Lose,
+  Partition,
+  Tick,
+};
+
+struct Step : rc::state::Command<Model, Simulation> {
+  StepKind Kind = StepKind::Tick;
+  std::size_t Number = 0;
+  std::size_t Instance = 0;
+
+  Step() {
+    this->Kind = *rc::gen::weightedElement<StepKind>({{6, StepKind::Publish},
+                                                      {1, StepKind::Restore},
+                                                      {1, StepKind::RaiseEpoch},
+                                                      {12, StepKind::Read},
+                                                      {1, StepKind::Restart},
+                                                      {40, StepKind::Deliver},
+                                                      {8, StepKind::Duplicate},
+                                                      {4, StepKind::Lose},
+                                                      {2, StepKind::Partition},
+                                                      {15, StepKind::Tick}});
+    this->Number = *rc::gen::inRange<std::size_t>(0, 1000);
+    this->Instance = *rc::gen::inRange<std::size_t>(0, InstanceCount);
+  }
+
+  void apply(Model &State) const override { ++State.Steps; }
+
+  void run(const Model & /*State*/, Simulation &System) const override {
+    const int Weight = static_cast<int>(this->Number);
+    switch (this->Kind) {
+    case StepKind::Publish:
+      System.publish(Weight, Weight);
+      break;
+    case StepKind::Restore:
+      System.restore(this->Number);
+      break;
+    case StepKind::RaiseEpoch:
+      System.raiseEpoch(Weight);
+      break;
+    case StepKind::Read:
+      System.read(this->Instance, this->Number);
+      break;
+    case StepKind::Restart:
+      System.restart(this->Instance);
+      break;
+    case StepKind::Deliver:
+    case StepKind::Duplicate:
+      System.deliver(this->Number, this->Kind == StepKind::Duplicate);
+      break;
+    case StepKind::Lose:
+      System.lose(this->Number);
+      break;
+    case StepKind::Partition:
+      System.partition(this->Number);
+      break;
+    case StepKind::Tick:
+      System.tick(this->Instance);
+      break;
+    }
+    System.checkInvariants();
+  }
+
+  void show(std::ostream &Out) const override {
+    Out << "step " << static_cast<int>(this->Kind) << ' ' << this->Number << ' '
+        << this->Instance;
+  }
+};
+
+// Guards against processes that go back, run a table that nobody published, or
+// do not agree within 9 s after a disturbance.
+RC_GTEST_PROP(ReplicationTest, NeverGoesBackAndConverges, ()) {
+  // Ten fleets in each case, since rare orders of messages matter.
+  for (int Fleet = 0; Fleet < 10; ++Fleet) {
+    const bool ServiceUp = *rc::gen::arbitrary<bool>();
+    const auto Steps = *rc::gen::scale(
+        3.0, rc::state::gen::commands(
+                 Model{}, rc::state::gen::execOneOfWithArgs<Step>()));
+    Simulation System;
+    rc::state::runAll(Steps, Model{}, System);
+    const auto Newest = System.newest(ServiceUp);
+    System.heal(ServiceUp);
+    System.checkInvariants();
+    // A message in transit may still bring a content that its sender lost in a
+    // restart, so the agreed content can be newer than what any instance had.
+    RC_ASSERT(System.content(0) >= Newest);
+    for (std::size_t I = 1; I < InstanceCount; ++I) {
+      RC_ASSERT(System.content(I) == System.content(0));
+    }
+  }
+}
+
+/// Two replicas that exchange without a network.
+struct Pair {
+  Replica First{DocumentKind::Table, checkTable, 1};
+  Replica Second{DocumentKind::Table, checkTable, 2};
+  Instant Now{std::chrono::hours(100)};
+  std::vector<ExchangeMessage> Passed;
+
+  Pair() {
+    this->First.setNeighbours({address(2)});
+    this->Second.setNeighbours({address(1)});
+  }
+
+  void read(std::uint64_t Revision, const std::map<int, int> &Weights) {
+    std::vector<OutgoingMessage> Out;
+    const auto Rows = parsePublishedTable(csv(1, Weights))->Rows;
+    ASSERT_TRUE(this->First.offerRead({1, Revision}, Rows, this->Now, Out));
+    this->pass(std::move(Out));
+  }
+
+  void tick() {
+    std::vector<OutgoingMessage> Out;
+    this->Second.tick(this->Now, Out);
+    this->pass(std::move(Out));
+  }
+
+  void pass(std::vector<OutgoingMessage> Out) {
+    while (!Out.empty()) {
+      std::vector<OutgoingMessage> Next;
+      for (const OutgoingMessage &Each : Out) {
+        this->Passed.push_back(Each.Body);
+        const bool ToFirst = Each.To == address(1);
+        (ToFirst ? this->First : this->Second)
+            .receive(address(ToFirst ? 2 : 1), Each.Body, this->Now, Next);
+      }
+      Out = std::move(Next);
+    }
+  }
+};
+
+// Guards against exchanging whole tables where row changes are enough.
+TEST(ReplicationTest, RemovalAndChangeTravelAsRowChanges) {
+  Pair Both;
+  Both.read(1, {{0, 5}, {1, 6}, {2, 7}});
+  EXPECT_EQ(Both.Second.version(), (DocumentVersion{1, 1}));
+  Both.Passed.clear();
+  Both.read(2, {{0, 9}, {2, 7}});
+  EXPECT_EQ(Both.Second.digest(), Both.First.digest());
+  ASSERT_EQ(Both.Passed.size(), 1U);
+  const auto *Changes = std::get_if<ChangesMessage>(&Both.Passed[0]);
+  ASSERT_NE(Changes, nullptr);
+  EXPECT_FALSE(Changes->Whole);
+  EXPECT_EQ(Changes->Rows.size(), 2U);
+}
+
+// Guards against a tombstone that ends early, or that lives on because it is
+// passed from process to process.
+TEST(ReplicationTest, TombstonesEndADayAfterTheRemoval) {
+  Pair Both;
+  Both.Second = Replica(DocumentKind::Table, checkTable, 3);
+  Both.First.setNeighbours({});
+  Both.read(1, {{0, 5}, {1, 6}});
+  Both.read(2, {{0, 5}});
+  Both.Now += std::chrono::hours(23);
+  Both.Second.setNeighbours({address(1)});
+  Both.tick();
+  ASSERT_EQ(Both.Second.content().Removed.size(), 1U);
+  EXPECT_EQ(Both.Second.content().Removed[0].Key, "s/u1");
+  Both.Now += std::chrono::hours(1);
+  Both.read(3, {{0, 6}});
+  Both.tick();
+  EXPECT_TRUE(Both.First.content().Removed.empty());
+  EXPECT_TRUE(Both.Second.content().Removed.empty());
+}
+
+// Guards against losing flows of a service that moved to another address.
+TEST(ReplicationTest, RowThatMovesLeavesATombstone) {
+  Pair Both;
+  Both.read(1, {{0, 5}});
+  std::vector<OutgoingMessage> Out;
+  auto Moved = parsePublishedTable(csv(1, {{0, 5}}))->Rows;
+  Moved[0].Value.replace(Moved[0].Value.find("127.1.0.1"), 9, "127.1.0.9");
+  ASSERT_TRUE(Both.First.offerRead({1, 2}, Moved, Both.Now, Out));
+  EXPECT_EQ(Both.First.content().Removed.size(), 1U);
+}
+
+// Guards against a process that starts without the configuration service and
+// stays without a table, against a restored service that takes the fleet back,
+// and against an epoch that does not bring a new content into force.
+TEST(ReplicationTest, JoinsRestoresAndEpochs) {
+  Pair Both;
+  Both.read(100, {{0, 5}});
+  Both.Second = Replica(DocumentKind::Table, checkTable, 4);
+  Both.Second.setNeighbours({address(1)});
+  Both.tick();
+  EXPECT_EQ(Both.Second.version(), (DocumentVersion{1, 100}));
+  const auto Older = parsePublishedTable(csv(1, {{0, 6}}))->Rows;
+  std::vector<OutgoingMessage> Out;
+  const auto Offered = Both.Second.offerRead({1, 50}, Older, Both.Now, Out);
+  ASSERT_FALSE(Offered);
+  EXPECT_EQ(Offered.error().Kind, ErrorKind::OlderTable);
+  EXPECT_EQ(Both.Second.counters().OlderIgnored, 1U);
+  EXPECT_FALSE(Both.Second.counters().LastProblem.empty());
+  EXPECT_TRUE(Both.Second.offerRead({2, 51}, Older, Both.Now, Out));
+  Both.pass(std::move(Out));
+  EXPECT_EQ(Both.First.version(), (DocumentVersion{2, 51}));
+}
+
+// Guards against processes that all call the configuration service although a
+// neighbour has just confirmed what is in force.
+TEST(ReplicationTest, AgeOfTheConfirmedReadTravels) {
+  Pair Both;
+  Both.read(1, {{0, 5}});
+  Both.Now += seconds(2);
+  Both.tick();
+  EXPECT_EQ(Both.Second.sinceConfirmed(Both.Now), milliseconds(2000));
+  Both.First.confirm(Both.Now);
+  Both.Now += milliseconds(500);
+  Both.tick();
+  EXPECT_EQ(Both.Second.sinceConfirmed(Both.Now), milliseconds(500));
+}
+
+/// Runs a schedule for a minute and returns the times of the calls.
+std::vector<Duration> callsInAMinute(std::uint64_t Seed, bool Reader,
+                                     ReadOutcome Outcome) {
+  ReadSchedule Schedule(Seed, ReadSchedule::TablePeriod);
+  const Instant Start{std::chrono::hours(1)};
+  std::vector<Duration> Calls;
+  for (Instant Now = Start; Now < Start + seconds(60);
+       Now += milliseconds(50)) {
+    if (const auto Request = Schedule.next({Reader, 7, NeverConfirmed}, Now)) {
+      Calls.push_back(Now - Start);
+      Now += Outcome == ReadOutcome::Unchanged ? Request->Wait : seconds(0);
+      Schedule.finished({Outcome, 7, 400000}, Now);
+    }
+  }
+  return Calls;
+}
+
+// Guards against exceeding the call limit when all processes lose touch, and
+// against a process that only the service reaches missing the bound of 9 s.
+RC_GTEST_PROP(ReadScheduleTest, FallbackReadsStayWithinCallLimitAndBound, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+  const auto Outcome = *rc::gen::element(
+      ReadOutcome::Unchanged, ReadOutcome::Failed, ReadOutcome::RateExceeded,
+      ReadOutcome::Rejected, ReadOutcome::Older);
+  const auto Calls = callsInAMinute(Seed, false, Outcome);
+  RC_ASSERT(!Calls.empty());
+  RC_ASSERT(Calls.front() <= seconds(1) + milliseconds(50));
+  for (std::size_t I = 1; I < Calls.size(); ++I) {
+    RC_ASSERT(Calls[I] - Calls[I - 1] >= seconds(5));
+    RC_ASSERT(Calls[I] - Calls[I - 1] <= seconds(6) + milliseconds(50));
+  }
+  const auto ReaderCalls = callsInAMinute(Seed, true, Outcome);
+  RC_ASSERT(ReaderCalls.size() >= 6U);
+  RC_ASSERT(ReaderCalls.size() <= 300U);
+}
+
+// Guards against a reader that waits forever for a revision that a restored
+// service will not reach.
+TEST(ReadScheduleTest, FollowsARestoredService) {
+  ReadSchedule Schedule(1, ReadSchedule::TablePeriod);
+  Instant Now{std::chrono::hours(1)};
+  const ReadSituation Reader = {true, 100, milliseconds(0)};
+  EXPECT_EQ(Schedule.next(Reader, Now)->After, 0U);
+  EXPECT_TRUE(Schedule.finished({ReadOutcome::InForce, 100, 400000}, Now));
+  Now += seconds(1);
+  EXPECT_EQ(Schedule.next(Reader, Now)->After, 100U);
+  EXPECT_FALSE(Schedule.finished({ReadOutcome::Unchanged, 50, 0}, Now));
+  Now += seconds(1);
+  EXPECT_EQ(Schedule.next(Reader, Now)->After, 0U);
+  EXPECT_FALSE(Schedule.finished({ReadOutcome::Older, 50, 400000}, Now));
+  Now += seconds(1);
+  EXPECT_EQ(Schedule.next(Reader, Now)->After, 50U);
+  EXPECT_FALSE(Schedule.finished({ReadOutcome::Unchanged, {}, 0}, Now));
+}
+
+// Guards against fetching a rejected value again and again while its successor
+// is still noticed at once.
+TEST(ReadScheduleTest, FetchesARejectedValueAgainAfterABackOff) {
+  ReadSchedule Schedule(1, ReadSchedule::TablePeriod);
+  Instant Now{std::chrono::hours(1)};
+  const ReadSituation Reader = {true, 5, milliseconds(0)};
+  ASSERT_TRUE(Schedule.next(Reader, Now));
+  Schedule.finished({ReadOutcome::Rejected, 6, 400000}, Now);
+  Now += milliseconds(500);
+  EXPECT_EQ(Schedule.next(Reader, Now)->After, 6U);
+  Schedule.finished({ReadOutcome::Unchanged, {}, 0}, Now);
+  Now += milliseconds(600);
+  EXPECT_EQ(Schedule.next(Reader, Now)->After, 5U);
+}
+
+} // namespace
+} // namespace mulberryhoist
