Add the decision logic of the balancer

Change: BalancerLogic maps the address to its service and forwards to the first candidate that is not suspected, leaving or draining; if all are excluded, exclusion is ignored. An address whose service is closed or removed has no candidate with weight, but its old flows still need a home: they go to a member of the locate group, and agents answer openings there truthfully. Openings to removed services are dropped, as are openings with payload and those that waited during a pause of the process. explainFlow uses the same choice. A reply that names another upstream than the table does not clear a suspicion.

Tested: balancer-test (19): moved address, weight 0, suspected, leaving, draining, fail open, closed and removed service, pause, older table, malformed packets, unknown addresses, unexpected messages; a property shows that two balancers with the same view choose alike and that explanations match; 1,000 warm packets allocate nothing.

--- /dev/null
+++ b/src/balancer.cc
@@ -0,0 +1,251 @@
+#include "mulberryhoist/balancer.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+#include "mulberryhoist/routing.h"
+
+namespace mulberryhoist {
+namespace {
+
+/// The candidates of a flow.
+struct Candidates {
+  const Service *Owner = nullptr;
+  std::span<const Assignment> Rows;
+  bool OldFlowsOnly = false;
+};
+
+bool takesNewWork(std::span<const Assignment> Rows) {
+  return std::any_of(Rows.begin(), Rows.end(),
+                     [](const Assignment &Row) { return Row.Weight != 0; });
+}
+
+/// Writes the members of the locate group as rows of equal weight. Members
+/// without any live row are probably gone and serve only if there is no other.
+void collectGroup(const Table &InForce, Endpoint Address,
+                  std::vector<Assignment> &Out) {
+  const std::span<const UpstreamId> Group = InForce.locateGroup(Address);
+  Out.clear();
+  for (const UpstreamId Id : Group) {
+    if (!InForce.assignments(Id).empty()) {
+      Out.push_back({{}, Id, 1});
+    }
+  }
+  if (!Out.empty()) {
+    return;
+  }
+  for (const UpstreamId Id : Group) {
+    Out.push_back({{}, Id, 1});
+  }
+}
+
+/// Finds the candidates of an address: the rows of its service, or, if the
+/// service is closed or removed, the locate group. Flows that began earlier
+/// still need a home, which then locates their owner.
+Candidates findCandidates(const Table &InForce, Endpoint Address,
+                          std::vector<Assignment> &GroupRows) {
+  Candidates Found;
+  Found.Owner = InForce.findService(Address);
+  if (Found.Owner != nullptr) {
+    Found.Rows = InForce.assignments(Found.Owner->Id);
+  }
+  if (!takesNewWork(Found.Rows)) {
+    collectGroup(InForce, Address, GroupRows);
+    Found.Rows = GroupRows;
+    Found.OldFlowsOnly = true;
+  }
+  return Found;
+}
+
+Exclusion exclusionOf(std::span<const AgentHealth> Agents, UpstreamId Id,
+                      bool OldFlowsOnly) {
+  const AgentHealth *Agent = findAgent(Agents, Id);
+  if (Agent == nullptr) {
+    return Exclusion::None;
+  }
+  // A draining agent can locate owners as well as any other.
+  if (OldFlowsOnly && !Agent->Suspected) {
+    return Exclusion::None;
+  }
+  return Agent->exclusion();
+}
+
+std::optional<UpstreamId> homeOf(const Candidates &From, const FlowKey &Key,
+                                 std::span<const AgentHealth> Agents) {
+  return chooseHome(From.Rows, Key, [&](UpstreamId Id) {
+    return exclusionOf(Agents, Id, From.OldFlowsOnly) != Exclusion::None;
+  });
+}
+
+/// Written out because clang-tidy 14 reports the use of the defaulted operator.
+bool isOlder(const TableVersion &A, const TableVersion &B) {
+  return std::tie(A.Epoch, A.Revision) < std::tie(B.Epoch, B.Revision);
+}
+
+double orderOf(const CandidateExplanation &Candidate) {
+  return Candidate.Score.value_or(std::numeric_limits<double>::infinity());
+}
+
+} // namespace
+
+FlowExplanation explainFlow(const Table &InForce,
+                            std::span<const AgentHealth> Agents,
+                            const FlowKey &Key) {
+  std::vector<Assignment> GroupRows;
+  const Candidates From = findCandidates(InForce, Key.Service, GroupRows);
+  FlowExplanation Answer;
+  if (From.Owner != nullptr) {
+    Answer.Service = From.Owner->Id;
+  }
+  Answer.Home = homeOf(From, Key, Agents);
+  Answer.OldFlowsOnly = From.OldFlowsOnly;
+  const std::uint64_t FlowHash = hashFlow(Key);
+  for (const Assignment &Row : From.Rows) {
+    CandidateExplanation Candidate;
+    Candidate.Upstream = Row.Upstream;
+    Candidate.Weight = Row.Weight;
+    if (Row.Weight != 0) {
+      Candidate.Score = rendezvousScore(FlowHash, Row.Upstream, Row.Weight);
+    }
+    Candidate.Excluded = exclusionOf(Agents, Row.Upstream, From.OldFlowsOnly);
+    Answer.FailOpen =
+        Answer.FailOpen ||
+        (Row.Upstream == Answer.Home && Candidate.Excluded != Exclusion::None);
+    Answer.Candidates.push_back(Candidate);
+  }
+  std::stable_sort(
+      Answer.Candidates.begin(), Answer.Candidates.end(),
+      [](const CandidateExplanation &A, const CandidateExplanation &B) {
+        return orderOf(A) < orderOf(B);
+      });
+  return Answer;
+}
+
+void BalancerLogic::onTable(std::shared_ptr<const Table> New, Instant Now,
+                            ActionList &Out) {
+  if (New == nullptr) {
+    return;
+  }
+  if (this->InForce != nullptr &&
+      isOlder(New->version(), this->InForce->version())) {
+    Out.push_back(ReportError{ErrorKind::OlderTable});
+    return;
+  }
+  this->InForce = std::move(New);
+  this->updateAgents(Now);
+}
+
+void BalancerLogic::onVms(const VmList &New, Instant Now) {
+  this->Presences.clear();
+  for (const Vm &Each : New.Vms) {
+    if (Each.Role == VmRole::Agent) {
+      this->Presences[Each.Data] = Each.State == VmState::Leaving
+                                       ? AgentPresence::Leaving
+                                       : AgentPresence::Live;
+    }
+  }
+  this->HasVms = true;
+  this->updateAgents(Now);
+}
+
+bool BalancerLogic::isAgent(Endpoint From) const {
+  return this->InForce != nullptr &&
+         this->InForce->findUpstream(From) != nullptr;
+}
+
+void BalancerLogic::onPacket(PacketBytes Bytes, Instant /*Now*/,
+                             ActionList &Out) {
+  const auto Packet = parsePacket(Bytes);
+  if (!Packet || (Packet->isOpening() && !Packet->Payload.empty())) {
+    Out.push_back(ReportError{ErrorKind::MalformedPacket});
+    return;
+  }
+  if (Packet->isOpening() && this->DropsOpenings) {
+    ++this->Dropped;
+    return;
+  }
+  if (this->InForce == nullptr) {
+    Out.push_back(ReportError{ErrorKind::UnknownAddress});
+    return;
+  }
+  const FlowKey Key = Packet->callerFlow();
+  const Candidates From =
+      findCandidates(*this->InForce, Key.Service, this->GroupRows);
+  if (Packet->isOpening() && From.Owner == nullptr) {
+    Out.push_back(ReportError{ErrorKind::UnknownAddress});
+    return;
+  }
+  const auto Home = homeOf(From, Key, this->Agents.agents());
+  const Upstream *Target = Home ? this->InForce->findUpstream(*Home) : nullptr;
+  if (Target == nullptr) {
+    Out.push_back(ReportError{ErrorKind::UnknownAddress});
+    return;
+  }
+  Forward Body;
+  Body.Opening = Packet->isOpening();
+  Body.Service = From.Owner == nullptr ? ServiceId{} : From.Owner->Id;
+  Body.Home = Target->Id;
+  Body.Table = this->InForce->version();
+  Out.push_back(SendMessage{Target->Agent, Body, Bytes});
+}
+
+void BalancerLogic::onDatagram(Endpoint From, const Message &Body,
+                               Instant /*Now*/, ActionList &Out) {
+  const Upstream *Sender =
+      this->InForce == nullptr ? nullptr : this->InForce->findUpstream(From);
+  if (Sender == nullptr) {
+    Out.push_back(ReportError{ErrorKind::UnknownAddress});
+    return;
+  }
+  const auto *Reply = std::get_if<ProbeReply>(&Body);
+  if (Reply == nullptr) {
+    this->Agents.onHeard(Sender->Id);
+    Out.push_back(ReportError{ErrorKind::MalformedMessage});
+    return;
+  }
+  // An agent with another name at this endpoint refuses the flows of the
+  // upstream in the table, so its reply must not clear the suspicion.
+  if (Reply->Upstream != Sender->Id) {
+    Out.push_back(ReportError{ErrorKind::WrongService});
+    return;
+  }
+  this->Agents.onReply(Sender->Id, Reply->Sequence, Reply->Draining,
+                       Reply->Load);
+}
+
+void BalancerLogic::onTick(Instant Now, ActionList &Out) {
+  this->Probes.clear();
+  this->Agents.onTick(Now, this->Probes);
+  for (const DueProbe &Due : this->Probes) {
+    Out.push_back(SendMessage{Due.To, Probe{Due.Sequence}, {}});
+  }
+}
+
+void BalancerLogic::onPause(Instant Now) {
+  this->Agents.onPause(Now);
+  this->DropsOpenings = true;
+}
+
+void BalancerLogic::updateAgents(Instant Now) {
+  if (this->InForce == nullptr) {
+    return;
+  }
+  std::vector<ProbeTarget> Targets;
+  for (const Upstream &Each : this->InForce->upstreams()) {
+    if (!this->InForce->assignments(Each.Id).empty()) {
+      Targets.push_back({Each.Id, Each.Agent, this->presenceOf(Each.Agent)});
+    }
+  }
+  this->Agents.setAgents(Targets, Now);
+}
+
+AgentPresence BalancerLogic::presenceOf(Endpoint Agent) const {
+  if (!this->HasVms) {
+    return AgentPresence::Unknown;
+  }
+  const auto Found = this->Presences.find(Agent);
+  return Found == this->Presences.end() ? AgentPresence::Gone : Found->second;
+}
+
+} // namespace mulberryhoist
--- /dev/null
+++ b/test/balancer-test.cc
@@ -0,0 +1,416 @@
+#include "mulberryhoist/balancer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <rapidcheck/gtest.h>
+#include <tins/tins.h>
+
+#include "allocation-counter.h"
+
+namespace mulberryhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant Start = Instant(seconds(1000));
+constexpr std::uint32_t Loopback = 127U << 24U;
+const Endpoint Photos = {Loopback | 1U, 443};
+const Endpoint Templates = {Loopback | 2U, 443};
+
+Endpoint agentAt(std::uint32_t Index) {
+  return {Loopback | (10U << 8U) | Index, 7000};
+}
+
+UpstreamId upstreamAt(std::uint32_t Index) {
+  return upstreamId(fmt::format("u{}", Index));
+}
+
+std::string row(std::string_view Service, Endpoint Address,
+                std::uint32_t Upstream, unsigned Weight,
+                std::string_view Share = "1") {
+  return fmt::format("{},{},0,{},u{},{},kl-sentral,{},4,2000", Service,
+                     formatEndpoint(Address), Share, Upstream,
+                     formatEndpoint(agentAt(Upstream)), Weight);
+}
+
+std::shared_ptr<const Table> makeTable(const std::vector<std::string> &Rows,
+                                       std::uint64_t Revision = 1) {
+  std::string Csv = "service,address,class,share,upstream,endpoint,zone,weight,"
+                    "slots,connections\n";
+  for (const std::string &Row : Rows) {
+    Csv += Row + '\n';
+  }
+  Csv += fmt::format("end,{},,,,,,,,\n", Rows.size());
+  auto Made = Table::fromCsv(Csv, Revision);
+  if (!Made) {
+    throw std::runtime_error(Made.error().Detail);
+  }
+  return std::make_shared<const Table>(std::move(*Made));
+}
+
+/// Seven upstreams of one service, with these weights.
+std::vector<std::string> photoRows(std::vector<unsigned> Weights) {
+  std::vector<std::string> Rows;
+  for (std::uint32_t I = 0; I < Weights.size(); ++I) {
+    Rows.push_back(row("photos", Photos, I, Weights[I]));
+  }
+  return Rows;
+}
+
+const std::vector<unsigned> EqualWeights = {10, 10, 10, 10, 10, 10, 10};
+
+std::vector<std::uint8_t> makePacket(std::uint32_t Caller, Endpoint Service,
+                                     Tins::TCP::Flags Flags = Tins::TCP::ACK) {
+  const auto Address = [](std::uint32_t Value) {
+    const std::string Text = formatEndpoint({Value, 0});
+    return Text.substr(0, Text.find(':'));
+  };
+  Tins::TCP Tcp(Service.Port, 5000);
+  Tcp.flags(Flags);
+  Tins::IP Ip(Address(Service.Address), Address(Loopback | Caller));
+  return (Ip / Tcp).serialize();
+}
+
+FlowKey keyOf(std::uint32_t Caller, Endpoint Service) {
+  return {{Loopback | Caller, 5000}, Service};
+}
+
+/// A balancer with a table, and what it does with packets.
+struct Driver {
+  explicit Driver(const std::shared_ptr<const Table> &InForce) {
+    this->Logic.onTable(InForce, this->Now, this->Out);
+  }
+
+  /// Returns what the balancer forwards, or nothing.
+  std::optional<SendMessage> forward(const std::vector<std::uint8_t> &Packet) {
+    this->Out.clear();
+    this->Logic.onPacket(Packet, this->Now, this->Out);
+    if (this->Out.size() != 1) {
+      return std::nullopt;
+    }
+    const auto *Sent = std::get_if<SendMessage>(&this->Out.front());
+    return Sent == nullptr ? std::nullopt : std::optional(*Sent);
+  }
+
+  std::optional<UpstreamId> homeFor(std::uint32_t Caller,
+                                    Endpoint Service = Photos) {
+    const auto Sent = this->forward(makePacket(Caller, Service));
+    if (!Sent) {
+      return std::nullopt;
+    }
+    return std::get<Forward>(Sent->Body).Home;
+  }
+
+  /// The error that the last event reported.
+  std::optional<ErrorKind> error() const {
+    const auto *Report = this->Out.size() != 1
+                             ? nullptr
+                             : std::get_if<ReportError>(&this->Out.front());
+    return Report == nullptr ? std::nullopt : std::optional(Report->Kind);
+  }
+
+  /// Lets time pass; agents answer probes unless they are silent.
+  void run(Duration Time) {
+    for (const Instant End = this->Now + Time; this->Now < End;
+         this->Now += milliseconds(50)) {
+      ActionList Probes;
+      this->Logic.onTick(this->Now, Probes);
+      for (const Action &Each : Probes) {
+        this->answer(std::get<SendMessage>(Each));
+      }
+    }
+  }
+
+  void answer(const SendMessage &Sent) {
+    const auto Index = static_cast<std::uint8_t>(Sent.To.Address);
+    if (std::count(this->Silent.begin(), this->Silent.end(), Index) != 0) {
+      return;
+    }
+    const auto Sequence = std::get<Probe>(Sent.Body).Sequence;
+    const bool Draining =
+        std::count(this->Draining.begin(), this->Draining.end(), Index) != 0;
+    this->Out.clear();
+    this->Logic.onDatagram(
+        Sent.To, ProbeReply{Sequence, upstreamAt(Index), Draining, 0, {}},
+        this->Now, this->Out);
+  }
+
+  BalancerLogic Logic;
+  ActionList Out;
+  Instant Now = Start;
+  std::vector<unsigned> Silent;
+  std::vector<unsigned> Draining;
+};
+
+constexpr std::uint32_t Flows = 200;
+
+/// How often each upstream is the home of a flow.
+std::vector<unsigned> countHomes(Driver &Run) {
+  std::vector<unsigned> Counts(EqualWeights.size());
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    const auto Home = Run.homeFor(Caller);
+    for (std::uint32_t I = 0; I < Counts.size(); ++I) {
+      Counts[I] += Home == upstreamAt(I) ? 1 : 0;
+    }
+  }
+  return Counts;
+}
+
+// Guards against envelopes that mislead the agent about packet or service.
+TEST(BalancerTest, ForwardsWithServiceHomeAndVersion) {
+  Driver Run(makeTable(photoRows(EqualWeights), 7));
+  for (const auto Flags : {Tins::TCP::SYN, Tins::TCP::ACK, Tins::TCP::RST}) {
+    const auto Packet = makePacket(1, Photos, Flags);
+    const auto Sent = Run.forward(Packet);
+    ASSERT_TRUE(Sent.has_value());
+    const auto &Body = std::get<Forward>(Sent->Body);
+    EXPECT_EQ(Body.Opening, Flags == Tins::TCP::SYN);
+    EXPECT_EQ(Body.Service, serviceId("photos"));
+    EXPECT_EQ(Run.Logic.table()->findUpstream(Sent->To)->Id, Body.Home);
+    EXPECT_EQ(Body.Table, (TableVersion{0, 7}));
+    EXPECT_FALSE(Body.Relayed || Body.Adopt);
+    EXPECT_EQ(Sent->Packet.data(), Packet.data());
+  }
+}
+
+struct AvoidedRow {
+  const char *Name;
+  void (*Prepare)(Driver &Run);
+};
+
+void silenceUpstream(Driver &Run) { Run.Silent = {3}; }
+void drainUpstream(Driver &Run) { Run.Draining = {3}; }
+void weightZero(Driver &Run) {
+  auto Weights = EqualWeights;
+  Weights[3] = 0;
+  Run.Logic.onTable(makeTable(photoRows(Weights), 2), Run.Now, Run.Out);
+}
+void leaveVm(Driver &Run) {
+  VmList List;
+  for (std::uint32_t I = 0; I < EqualWeights.size(); ++I) {
+    List.Vms.push_back({"u", VmRole::Agent, "kl-sentral",
+                        I == 3 ? VmState::Leaving : VmState::Live, agentAt(I),
+                        agentAt(I)});
+  }
+  Run.Logic.onVms(List, Run.Now);
+}
+
+class AvoidedTest : public testing::TestWithParam<AvoidedRow> {};
+
+// Guards against packets to an agent that takes no work, and against moving the
+// flows of other agents because of it.
+TEST_P(AvoidedTest, MovesOnlyItsFlows) {
+  Driver Run(makeTable(photoRows(EqualWeights)));
+  Run.run(seconds(2));
+  std::vector<std::optional<UpstreamId>> Before;
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    Before.push_back(Run.homeFor(Caller));
+  }
+  GetParam().Prepare(Run);
+  Run.run(seconds(4) + milliseconds(100));
+  EXPECT_EQ(countHomes(Run)[3], 0U);
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    if (Before[Caller] != upstreamAt(3)) {
+      EXPECT_EQ(Run.homeFor(Caller), Before[Caller]);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Reasons, AvoidedTest,
+    testing::Values(AvoidedRow{"Suspected", silenceUpstream},
+                    AvoidedRow{"Draining", drainUpstream},
+                    AvoidedRow{"WeightZero", weightZero},
+                    AvoidedRow{"Leaving", leaveVm}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
+
+// Guards against dropping all packets because the view says nobody lives.
+TEST(BalancerTest, FailsOpenAndForgetsAfterPause) {
+  Driver Run(makeTable(photoRows(EqualWeights)));
+  const auto Before = countHomes(Run);
+  Run.Silent = {0, 1, 2, 3, 4, 5, 6};
+  Run.run(seconds(5));
+  EXPECT_EQ(countHomes(Run), Before);
+  const auto Why = explainFlow(
+      *Run.Logic.table(), Run.Logic.suspicion().agents(), keyOf(1, Photos));
+  EXPECT_TRUE(Why.FailOpen);
+  EXPECT_EQ(Why.Home, Run.homeFor(1));
+
+  Run.Logic.onPause(Run.Now);
+  EXPECT_FALSE(Run.Logic.suspicion().isSuspected(upstreamAt(1)));
+}
+
+// Guards against openings that waited during a pause and whose callers have
+// given up, and against losing established packets with them (G1).
+TEST(BalancerTest, PauseDropsOnlyWaitingOpenings) {
+  Driver Run(makeTable(photoRows(EqualWeights)));
+  Run.Logic.onPause(Run.Now);
+  EXPECT_FALSE(Run.forward(makePacket(1, Photos, Tins::TCP::SYN)).has_value());
+  EXPECT_TRUE(Run.forward(makePacket(1, Photos)).has_value());
+  EXPECT_EQ(Run.Logic.droppedOpenings(), 1U);
+  Run.Logic.onInputEmpty();
+  EXPECT_TRUE(Run.forward(makePacket(1, Photos, Tins::TCP::SYN)).has_value());
+}
+
+// Guards against work for a service that no longer has the address (G2).
+TEST(BalancerTest, MovedAddressGoesToItsNewService) {
+  Driver Run(makeTable(
+      {row("photos", Photos, 0, 10), row("templates", Templates, 1, 10)}));
+  EXPECT_EQ(Run.homeFor(1, Templates), upstreamAt(1));
+  Run.Logic.onTable(makeTable({row("photos", Templates, 0, 10),
+                               row("templates", Photos, 1, 10)},
+                              2),
+                    Run.Now, Run.Out);
+  const auto Sent = Run.forward(makePacket(1, Templates, Tins::TCP::SYN));
+  ASSERT_TRUE(Sent.has_value());
+  EXPECT_EQ(std::get<Forward>(Sent->Body).Service, serviceId("photos"));
+  EXPECT_EQ(std::get<Forward>(Sent->Body).Home, upstreamAt(0));
+}
+
+// Guards against cutting the remaining flows of a closed service (G1).
+TEST(BalancerTest, ClosedServiceStillReachesItsAgents) {
+  Driver Run(makeTable({row("photos", Photos, 0, 0, "closed"),
+                        row("photos", Photos, 1, 0, "closed"),
+                        row("templates", Templates, 2, 10)}));
+  Run.Draining = {0, 1};
+  Run.Silent = {1};
+  Run.run(seconds(5));
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    EXPECT_EQ(Run.homeFor(Caller), upstreamAt(0));
+  }
+}
+
+// Guards against cutting the flows of a removed service (G1), and against new
+// work for it.
+TEST(BalancerTest, RemovedServiceKeepsOnlyOldFlows) {
+  const auto InForce = Table::create(
+      {0, 2},
+      std::vector<RowText>{
+          {"templates/u2", row("templates", Templates, 2, 10)}},
+      std::vector<RowText>{{"photos/u0", row("photos", Photos, 0, 10)},
+                           {"photos/u1", row("photos", Photos, 1, 10)}});
+  ASSERT_TRUE(InForce.has_value()) << InForce.error().Detail;
+  Driver Run(std::make_shared<const Table>(*InForce));
+  EXPECT_TRUE(Run.homeFor(1, Photos).has_value());
+  EXPECT_FALSE(Run.forward(makePacket(1, Photos, Tins::TCP::SYN)).has_value());
+  EXPECT_EQ(Run.error(), ErrorKind::UnknownAddress);
+}
+
+// Guards against a table that reverts (G8).
+TEST(BalancerTest, OlderTableIsIgnored) {
+  Driver Run(makeTable(photoRows(EqualWeights), 5));
+  Run.Out.clear();
+  Run.Logic.onTable(makeTable({row("photos", Photos, 0, 1)}, 4), Run.Now,
+                    Run.Out);
+  EXPECT_EQ(Run.error(), ErrorKind::OlderTable);
+  EXPECT_EQ(Run.Logic.table()->version().Revision, 5U);
+}
+
+struct InvalidRow {
+  const char *Name;
+  std::vector<std::uint8_t> Packet;
+  ErrorKind Kind;
+};
+
+std::vector<std::uint8_t> openingWithPayload() {
+  Tins::TCP Tcp(Photos.Port, 5000);
+  Tcp.flags(Tins::TCP::SYN);
+  return (Tins::IP("127.0.0.1", "127.0.0.9") / Tcp / Tins::RawPDU("x"))
+      .serialize();
+}
+
+class InvalidTest : public testing::TestWithParam<InvalidRow> {};
+
+// Guards against input that crashes the process or is forwarded anyway.
+TEST_P(InvalidTest, IsReportedAndDropped) {
+  Driver Run(makeTable(photoRows(EqualWeights)));
+  EXPECT_FALSE(Run.forward(GetParam().Packet).has_value());
+  EXPECT_EQ(Run.error(), GetParam().Kind);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Packets, InvalidTest,
+    testing::Values(InvalidRow{"Empty", {}, ErrorKind::MalformedPacket},
+                    InvalidRow{"OpeningWithPayload", openingWithPayload(),
+                               ErrorKind::MalformedPacket},
+                    InvalidRow{"UnknownAddress",
+                               makePacket(1, {Loopback | 9U, 443}),
+                               ErrorKind::UnknownAddress},
+                    InvalidRow{"UnknownPort",
+                               makePacket(1, {Photos.Address, 80}),
+                               ErrorKind::UnknownAddress}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
+
+// Guards against datagrams that change the view without right.
+TEST(BalancerTest, ReportsUnexpectedDatagrams) {
+  Driver Run(makeTable(photoRows(EqualWeights)));
+  const auto Report = [&](Endpoint From, const Message &Body) {
+    Run.Out.clear();
+    Run.Logic.onDatagram(From, Body, Run.Now, Run.Out);
+    return Run.error();
+  };
+  EXPECT_EQ(Report({1, 1}, ProbeReply{}), ErrorKind::UnknownAddress);
+  EXPECT_EQ(Report(agentAt(1), Probe{}), ErrorKind::MalformedMessage);
+  EXPECT_EQ(Report(agentAt(1), ProbeReply{1, upstreamAt(2), true, 0, {}}),
+            ErrorKind::WrongService);
+  EXPECT_FALSE(Run.Logic.isAgent({1, 1}));
+  EXPECT_TRUE(Run.Logic.isAgent(agentAt(1)));
+}
+
+// Guards against packets before the first table, which have no home.
+TEST(BalancerTest, DropsPacketsWithoutTable) {
+  Driver Run(nullptr);
+  EXPECT_FALSE(Run.forward(makePacket(1, Photos)).has_value());
+  EXPECT_EQ(Run.error(), ErrorKind::UnknownAddress);
+}
+
+// Guards against balancers that send packets of one flow to different homes
+// although they see the same, and against explanations that differ from what
+// the balancer does.
+RC_GTEST_PROP(BalancerProperty, SameViewMakesSameChoice, ()) {
+  const auto Weights =
+      *rc::gen::container<std::vector<unsigned>>(7, rc::gen::inRange(1U, 50U));
+  const auto Silent = *rc::gen::container<std::vector<unsigned>>(
+      *rc::gen::inRange(0, 7), rc::gen::inRange(0U, 7U));
+  auto Rows = photoRows(Weights);
+  Driver One(makeTable(Rows));
+  std::reverse(Rows.begin(), Rows.end());
+  Driver Other(makeTable(Rows));
+  for (Driver *Each : {&One, &Other}) {
+    Each->Silent = Silent;
+    Each->run(seconds(5));
+  }
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    const auto Home = One.homeFor(Caller);
+    RC_ASSERT(Home.has_value());
+    RC_ASSERT(Home == Other.homeFor(Caller));
+    const auto Why =
+        explainFlow(*One.Logic.table(), One.Logic.suspicion().agents(),
+                    keyOf(Caller, Photos));
+    RC_ASSERT(Why.Home == Home);
+    const auto First = std::find_if(
+        Why.Candidates.begin(), Why.Candidates.end(),
+        [](const auto &Each) { return Each.Excluded == Exclusion::None; });
+    RC_ASSERT(First != Why.Candidates.end());
+    RC_ASSERT(First->Upstream == *Home);
+  }
+}
+
+// Guards against allocations on the path of established packets.
+TEST(BalancerTest, WarmPacketAllocatesNothing) {
+  Driver Run(makeTable(photoRows(EqualWeights)));
+  const auto Packet = makePacket(1, Photos);
+  ASSERT_TRUE(Run.forward(Packet).has_value());
+  const AllocationProbe Allocations;
+  for (int I = 0; I < 1000; ++I) {
+    Run.Out.clear();
+    Run.Logic.onPacket(Packet, Run.Now, Run.Out);
+  }
+  EXPECT_EQ(Allocations.count(), 0U);
+}
+
+} // namespace
+} // namespace mulberryhoist
