Add admission: slots, shares, wait queue, load figure, retry budget

Slot time is charged continuously, so start-time fair queueing needs no estimate of a request's length. A full queue sheds the newest opening of the least urgent class that is beyond its part. RetryBudget is a token bucket of a tenth of the openings.

--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,263 @@
+#include "mulberryhoist/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace mulberryhoist {
+
+Admission::Admission(Instant Started) : Started(Started), Charged(Started) {}
+
+void Admission::setLimits(const AdmissionLimits &Limits, Instant Now) {
+  this->charge(Now);
+  this->Limits = Limits;
+  for (Queue &Entry : this->Queues) {
+    Entry.Listed = false;
+    Entry.Share.Share = 1;
+  }
+  for (const ServiceShare &Share : Limits.Services) {
+    Queue &Entry = this->findOrAdd(Share.Service);
+    Entry.Share = Share;
+    Entry.Share.Share = std::max(Share.Share, 1U);
+    Entry.Listed = true;
+  }
+  std::erase_if(this->Queues, [](const Queue &Entry) {
+    return !Entry.Listed && !Entry.isActive();
+  });
+}
+
+AdmissionAnswer Admission::offer(const FlowKey &Key, ServiceId Service,
+                                 Instant Now,
+                                 std::vector<WaitingOpening> &Shed) {
+  this->charge(Now);
+  Queue *Entry = this->find(Service);
+  if (Entry == nullptr || !Entry->Listed ||
+      this->Connections >= this->Limits.Connections) {
+    return AdmissionAnswer::Declined;
+  }
+  this->activate(*Entry);
+  if (this->Busy < this->Limits.Slots && this->Waiting == 0) {
+    this->start(*Entry);
+    return AdmissionAnswer::Started;
+  }
+  if (this->Waiting >= this->queueCapacity()) {
+    Queue *Victim = this->chooseToShed(*Entry);
+    if (Victim == nullptr) {
+      return AdmissionAnswer::Declined;
+    }
+    // The newest entry loses: the older ones have waited longer.
+    Shed.push_back(Victim->Entries.back());
+    Victim->Entries.pop_back();
+    --this->Waiting;
+  }
+  Entry->Entries.push_back(
+      {Key, Service, Now + waitDeadline(Entry->Share.Class)});
+  ++this->Waiting;
+  return AdmissionAnswer::Queued;
+}
+
+std::optional<WaitingOpening> Admission::startNext(Instant Now) {
+  if (this->Waiting == 0 || this->Busy >= this->Limits.Slots) {
+    return std::nullopt;
+  }
+  this->charge(Now);
+  Queue *Best = nullptr;
+  for (Queue &Entry : this->Queues) {
+    if (Entry.Entries.empty()) {
+      continue;
+    }
+    if (Best == nullptr || Entry.Used < Best->Used ||
+        (Entry.Used == Best->Used && Entry.Share.Class < Best->Share.Class)) {
+      Best = &Entry;
+    }
+  }
+  if (Best == nullptr) {
+    return std::nullopt;
+  }
+  const WaitingOpening Next = Best->Entries.front();
+  Best->Entries.pop_front();
+  --this->Waiting;
+  this->start(*Best);
+  return Next;
+}
+
+void Admission::expire(Instant Now, std::vector<WaitingOpening> &Out) {
+  if (this->Waiting == 0) {
+    return;
+  }
+  for (Queue &Entry : this->Queues) {
+    const auto First =
+        std::stable_partition(Entry.Entries.begin(), Entry.Entries.end(),
+                              [Now](const WaitingOpening &Opening) {
+                                return Opening.Deadline > Now;
+                              });
+    Out.insert(Out.end(), First, Entry.Entries.end());
+    this->Waiting -= static_cast<std::uint32_t>(Entry.Entries.end() - First);
+    Entry.Entries.erase(First, Entry.Entries.end());
+  }
+}
+
+bool Admission::cancel(const FlowKey &Key, ServiceId Service) {
+  Queue *Entry = this->find(Service);
+  if (Entry == nullptr) {
+    return false;
+  }
+  const auto Removed =
+      std::erase_if(Entry->Entries, [&Key](const WaitingOpening &Opening) {
+        return Opening.Key == Key;
+      });
+  this->Waiting -= static_cast<std::uint32_t>(Removed);
+  return Removed > 0;
+}
+
+void Admission::beginWork(ServiceId Service, Instant Now) {
+  this->charge(Now);
+  Queue &Entry = this->findOrAdd(Service);
+  this->activate(Entry);
+  this->start(Entry);
+}
+
+void Admission::endWork(ServiceId Service, Instant Now) {
+  this->charge(Now);
+  Queue *Entry = this->find(Service);
+  if (Entry == nullptr || Entry->Busy == 0) {
+    return;
+  }
+  --Entry->Busy;
+  --this->Busy;
+}
+
+bool Admission::hasRoom(ServiceId Service) const {
+  const Queue *Entry = this->find(Service);
+  if (Entry == nullptr || !Entry->Listed ||
+      this->Connections >= this->Limits.Connections) {
+    return false;
+  }
+  return this->Waiting < this->queueCapacity() ||
+         static_cast<double>(Entry->Entries.size()) + 1.0 <=
+             this->queuePart(*Entry);
+}
+
+std::uint32_t Admission::load(std::uint32_t Weight, Instant Now) const {
+  constexpr double Thousandths = 1000.0;
+  const std::chrono::duration<double> Age = Now - this->Started;
+  const std::chrono::duration<double> Period = ColdStartPeriod;
+  const double Remaining = std::clamp(1.0 - Age / Period, 0.0, 1.0);
+  const double Factor = 1.0 + (ColdStartFactor - 1.0) * Remaining;
+  const double Load =
+      this->active() * Thousandths * Factor / std::max(Weight, 1U);
+  const double Max = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(std::round(Load), Max));
+}
+
+Admission::Queue *Admission::find(ServiceId Service) {
+  for (Queue &Entry : this->Queues) {
+    if (Entry.Share.Service == Service) {
+      return &Entry;
+    }
+  }
+  return nullptr;
+}
+
+const Admission::Queue *Admission::find(ServiceId Service) const {
+  for (const Queue &Entry : this->Queues) {
+    if (Entry.Share.Service == Service) {
+      return &Entry;
+    }
+  }
+  return nullptr;
+}
+
+Admission::Queue &Admission::findOrAdd(ServiceId Service) {
+  if (Queue *Entry = this->find(Service)) {
+    return *Entry;
+  }
+  Queue &Added = this->Queues.emplace_back();
+  Added.Share.Service = Service;
+  Added.Share.Class = ClassCount - 1;
+  Added.Listed = false;
+  return Added;
+}
+
+std::uint32_t Admission::queueCapacity() const {
+  return this->Limits.Slots * QueuePerSlot;
+}
+
+double Admission::queuePart(const Queue &Entry) const {
+  double Sum = 0;
+  for (const Queue &Other : this->Queues) {
+    Sum += Other.Listed ? Other.Share.Share : 0U;
+  }
+  return Sum > 0 ? this->queueCapacity() * (Entry.Share.Share / Sum) : 0;
+}
+
+Admission::Queue *Admission::chooseToShed(const Queue &Newcomer) {
+  // The newcomer is counted as if it were waiting, so that a service that is
+  // beyond its part itself does not push out another one.
+  const auto Excess = [this, &Newcomer](const Queue &Entry) {
+    const double Own = &Entry == &Newcomer ? 1.0 : 0.0;
+    return static_cast<double>(Entry.Entries.size()) + Own -
+           this->queuePart(Entry);
+  };
+  Queue *Worst = nullptr;
+  for (Queue &Entry : this->Queues) {
+    if (Excess(Entry) <= 0) {
+      continue;
+    }
+    if (Worst == nullptr || Entry.Share.Class > Worst->Share.Class ||
+        (Entry.Share.Class == Worst->Share.Class &&
+         Excess(Entry) > Excess(*Worst))) {
+      Worst = &Entry;
+    }
+  }
+  const bool Usable =
+      Worst != nullptr && Worst != &Newcomer && !Worst->Entries.empty();
+  return Usable ? Worst : nullptr;
+}
+
+void Admission::charge(Instant Now) {
+  if (Now <= this->Charged) {
+    return;
+  }
+  const std::chrono::duration<double, std::nano> Passed = Now - this->Charged;
+  this->Charged = Now;
+  for (Queue &Entry : this->Queues) {
+    Entry.Used += Entry.Busy * Passed.count() / Entry.Share.Share;
+  }
+}
+
+void Admission::activate(Queue &Entry) {
+  if (Entry.isActive()) {
+    return;
+  }
+  // A service that was idle starts level with the least served active one, so
+  // that it does not save up credit while it is idle.
+  std::optional<double> Least;
+  for (const Queue &Other : this->Queues) {
+    if (Other.isActive() && (!Least || Other.Used < *Least)) {
+      Least = Other.Used;
+    }
+  }
+  Entry.Used = std::max(Entry.Used, Least.value_or(this->VirtualTime));
+}
+
+void Admission::start(Queue &Entry) {
+  this->VirtualTime = std::max(this->VirtualTime, Entry.Used);
+  ++Entry.Busy;
+  ++this->Busy;
+}
+
+void RetryBudget::earn() {
+  this->Tenths = std::min(this->Tenths + 1, MaxTenths);
+}
+
+bool RetryBudget::take(std::uint32_t Count) {
+  const std::uint32_t Price = Count * TenthsPerRetry;
+  if (this->Tenths < Price) {
+    return false;
+  }
+  this->Tenths -= Price;
+  return true;
+}
+
+} // namespace mulberryhoist
