--- a/include/mulberryhoist/types.h
+++ b/include/mulberryhoist/types.h
@@ -58,7 +58,11 @@
 template <typename Tag> struct NameId {
   std::uint32_t Value = 0;
 
-  friend auto operator<=>(const NameId &, const NameId &) = default;
+  friend bool operator==(const NameId &, const NameId &) = default;
+
+  friend bool operator<(const NameId &A, const NameId &B) {
+    return A.Value < B.Value;
+  }
 };
 
 struct UpstreamTag;
