--- a/include/mulberryhoist/balancer.h
+++ b/include/mulberryhoist/balancer.h
@@ -20,6 +20,11 @@
 
 namespace mulberryhoist {
 
+/// The longest time for which openings are dropped after a pause. Under
+/// overload the input is never empty, but the receive buffer is read in less
+/// than this.
+inline constexpr Duration OpeningDropTime = std::chrono::seconds(1);
+
 /// One upstream in the choice of a flow's home.
 struct CandidateExplanation {
   UpstreamId Upstream;
@@ -76,12 +81,13 @@
   /// was read.
   void onTick(Instant Now, ActionList &Out);
 
-  /// Own pause: forgets suspicions, and drops openings until `onInputEmpty`,
-  /// because the callers of those that waited may have given up.
+  /// Own pause: forgets suspicions, and drops openings until `onInputEmpty` or
+  /// for `OpeningDropTime`, because the callers of those that waited may have
+  /// given up.
   void onPause(Instant Now);
 
   /// The input that had been waiting is read.
-  void onInputEmpty() { this->DropsOpenings = false; }
+  void onInputEmpty() { this->DropOpeningsUntil = Instant(); }
 
   /// The table in force, or null.
   const std::shared_ptr<const Table> &table() const { return this->InForce; }
@@ -104,7 +110,7 @@
   /// Candidates from a locate group; a member so that it is reused.
   std::vector<Assignment> GroupRows;
   std::uint64_t Dropped = 0;
-  bool DropsOpenings = false;
+  Instant DropOpeningsUntil;
 };
 
 } // namespace mulberryhoist
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -154,14 +154,13 @@
          this->InForce->findUpstream(From) != nullptr;
 }
 
-void BalancerLogic::onPacket(PacketBytes Bytes, Instant /*Now*/,
-                             ActionList &Out) {
+void BalancerLogic::onPacket(PacketBytes Bytes, Instant Now, ActionList &Out) {
   const auto Packet = parsePacket(Bytes);
   if (!Packet || (Packet->isOpening() && !Packet->Payload.empty())) {
     Out.push_back(ReportError{ErrorKind::MalformedPacket});
     return;
   }
-  if (Packet->isOpening() && this->DropsOpenings) {
+  if (Packet->isOpening() && Now < this->DropOpeningsUntil) {
     ++this->Dropped;
     return;
   }
@@ -224,7 +223,7 @@
 
 void BalancerLogic::onPause(Instant Now) {
   this->Agents.onPause(Now);
-  this->DropsOpenings = true;
+  this->DropOpeningsUntil = Now + OpeningDropTime;
 }
 
 void BalancerLogic::updateAgents(Instant Now) {
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <rapidcheck/gtest.h>
-#include <tins/tins.h>
 
 #include "allocation-counter.h"
+#include "samples.h"
 
 namespace mulberryhoist {
 namespace {
@@ -31,24 +31,8 @@
 std::string row(std::string_view Service, Endpoint Address,
                 std::uint32_t Upstream, unsigned Weight,
                 std::string_view Share = "1") {
-  return fmt::format("{},{},0,{},u{},{},kl-sentral,{},4,2000", Service,
-                     formatEndpoint(Address), Share, Upstream,
-                     formatEndpoint(agentAt(Upstream)), Weight);
-}
-
-std::shared_ptr<const Table> makeTable(const std::vector<std::string> &Rows,
-                                       std::uint64_t Revision = 1) {
-  std::string Csv = "service,address,class,share,upstream,endpoint,zone,weight,"
-                    "slots,connections\n";
-  for (const std::string &Row : Rows) {
-    Csv += Row + '\n';
-  }
-  Csv += fmt::format("end,{},,,,,,,,\n", Rows.size());
-  auto Made = Table::fromCsv(Csv, Revision);
-  if (!Made) {
-    throw std::runtime_error(Made.error().Detail);
-  }
-  return std::make_shared<const Table>(std::move(*Made));
+  return sampleRow(Service, Address, fmt::format("u{}", Upstream),
+                   agentAt(Upstream), Weight, Share);
 }
 
 /// Seven upstreams of one service, with these weights.
@@ -64,14 +48,7 @@
 
 std::vector<std::uint8_t> makePacket(std::uint32_t Caller, Endpoint Service,
                                      Tins::TCP::Flags Flags = Tins::TCP::ACK) {
-  const auto Address = [](std::uint32_t Value) {
-    const std::string Text = formatEndpoint({Value, 0});
-    return Text.substr(0, Text.find(':'));
-  };
-  Tins::TCP Tcp(Service.Port, 5000);
-  Tcp.flags(Flags);
-  Tins::IP Ip(Address(Service.Address), Address(Loopback | Caller));
-  return (Ip / Tcp).serialize();
+  return samplePacket({Loopback | Caller, 5000}, Service, Flags);
 }
 
 FlowKey keyOf(std::uint32_t Caller, Endpoint Service) {
@@ -161,7 +138,7 @@
 
 // Guards against envelopes that mislead the agent about packet or service.
 TEST(BalancerTest, ForwardsWithServiceHomeAndVersion) {
-  Driver Run(makeTable(photoRows(EqualWeights), 7));
+  Driver Run(sampleTable(photoRows(EqualWeights), 7));
   for (const auto Flags : {Tins::TCP::SYN, Tins::TCP::ACK, Tins::TCP::RST}) {
     const auto Packet = makePacket(1, Photos, Flags);
     const auto Sent = Run.forward(Packet);
@@ -186,7 +163,7 @@
 void weightZero(Driver &Run) {
   auto Weights = EqualWeights;
   Weights[3] = 0;
-  Run.Logic.onTable(makeTable(photoRows(Weights), 2), Run.Now, Run.Out);
+  Run.Logic.onTable(sampleTable(photoRows(Weights), 2), Run.Now, Run.Out);
 }
 void leaveVm(Driver &Run) {
   VmList List;
@@ -203,7 +180,7 @@
 // Guards against packets to an agent that takes no work, and against moving the
 // flows of other agents because of it.
 TEST_P(AvoidedTest, MovesOnlyItsFlows) {
-  Driver Run(makeTable(photoRows(EqualWeights)));
+  Driver Run(sampleTable(photoRows(EqualWeights)));
   Run.run(seconds(2));
   std::vector<std::optional<UpstreamId>> Before;
   for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
@@ -229,7 +206,7 @@
 
 // Guards against dropping all packets because the view says nobody lives.
 TEST(BalancerTest, FailsOpenAndForgetsAfterPause) {
-  Driver Run(makeTable(photoRows(EqualWeights)));
+  Driver Run(sampleTable(photoRows(EqualWeights)));
   const auto Before = countHomes(Run);
   Run.Silent = {0, 1, 2, 3, 4, 5, 6};
   Run.run(seconds(5));
@@ -244,25 +221,30 @@
 }
 
 // Guards against openings that waited during a pause and whose callers have
-// given up, and against losing established packets with them (G1).
+// given up, against losing established packets with them (G1), and against
+// dropping openings for ever under overload.
 TEST(BalancerTest, PauseDropsOnlyWaitingOpenings) {
-  Driver Run(makeTable(photoRows(EqualWeights)));
+  Driver Run(sampleTable(photoRows(EqualWeights)));
   Run.Logic.onPause(Run.Now);
   EXPECT_FALSE(Run.forward(makePacket(1, Photos, Tins::TCP::SYN)).has_value());
   EXPECT_TRUE(Run.forward(makePacket(1, Photos)).has_value());
   EXPECT_EQ(Run.Logic.droppedOpenings(), 1U);
   Run.Logic.onInputEmpty();
   EXPECT_TRUE(Run.forward(makePacket(1, Photos, Tins::TCP::SYN)).has_value());
+
+  Run.Logic.onPause(Run.Now);
+  Run.Now += OpeningDropTime;
+  EXPECT_TRUE(Run.forward(makePacket(1, Photos, Tins::TCP::SYN)).has_value());
 }
 
 // Guards against work for a service that no longer has the address (G2).
 TEST(BalancerTest, MovedAddressGoesToItsNewService) {
-  Driver Run(makeTable(
+  Driver Run(sampleTable(
       {row("photos", Photos, 0, 10), row("templates", Templates, 1, 10)}));
   EXPECT_EQ(Run.homeFor(1, Templates), upstreamAt(1));
-  Run.Logic.onTable(makeTable({row("photos", Templates, 0, 10),
-                               row("templates", Photos, 1, 10)},
-                              2),
+  Run.Logic.onTable(sampleTable({row("photos", Templates, 0, 10),
+                                 row("templates", Photos, 1, 10)},
+                                2),
                     Run.Now, Run.Out);
   const auto Sent = Run.forward(makePacket(1, Templates, Tins::TCP::SYN));
   ASSERT_TRUE(Sent.has_value());
@@ -272,9 +254,9 @@
 
 // Guards against cutting the remaining flows of a closed service (G1).
 TEST(BalancerTest, ClosedServiceStillReachesItsAgents) {
-  Driver Run(makeTable({row("photos", Photos, 0, 0, "closed"),
-                        row("photos", Photos, 1, 0, "closed"),
-                        row("templates", Templates, 2, 10)}));
+  Driver Run(sampleTable({row("photos", Photos, 0, 0, "closed"),
+                          row("photos", Photos, 1, 0, "closed"),
+                          row("templates", Templates, 2, 10)}));
   Run.Draining = {0, 1};
   Run.Silent = {1};
   Run.run(seconds(5));
@@ -301,9 +283,9 @@
 
 // Guards against a table that reverts (G8).
 TEST(BalancerTest, OlderTableIsIgnored) {
-  Driver Run(makeTable(photoRows(EqualWeights), 5));
+  Driver Run(sampleTable(photoRows(EqualWeights), 5));
   Run.Out.clear();
-  Run.Logic.onTable(makeTable({row("photos", Photos, 0, 1)}, 4), Run.Now,
+  Run.Logic.onTable(sampleTable({row("photos", Photos, 0, 1)}, 4), Run.Now,
                     Run.Out);
   EXPECT_EQ(Run.error(), ErrorKind::OlderTable);
   EXPECT_EQ(Run.Logic.table()->version().Revision, 5U);
@@ -326,7 +308,7 @@
 
 // Guards against input that crashes the process or is forwarded anyway.
 TEST_P(InvalidTest, IsReportedAndDropped) {
-  Driver Run(makeTable(photoRows(EqualWeights)));
+  Driver Run(sampleTable(photoRows(EqualWeights)));
   EXPECT_FALSE(Run.forward(GetParam().Packet).has_value());
   EXPECT_EQ(Run.error(), GetParam().Kind);
 }
@@ -346,7 +328,7 @@
 
 // Guards against datagrams that change the view without right.
 TEST(BalancerTest, ReportsUnexpectedDatagrams) {
-  Driver Run(makeTable(photoRows(EqualWeights)));
+  Driver Run(sampleTable(photoRows(EqualWeights)));
   const auto Report = [&](Endpoint From, const Message &Body) {
     Run.Out.clear();
     Run.Logic.onDatagram(From, Body, Run.Now, Run.Out);
@@ -376,9 +358,9 @@
   const auto Silent = *rc::gen::container<std::vector<unsigned>>(
       *rc::gen::inRange(0, 7), rc::gen::inRange(0U, 7U));
   auto Rows = photoRows(Weights);
-  Driver One(makeTable(Rows));
+  Driver One(sampleTable(Rows));
   std::reverse(Rows.begin(), Rows.end());
-  Driver Other(makeTable(Rows));
+  Driver Other(sampleTable(Rows));
   for (Driver *Each : {&One, &Other}) {
     Each->Silent = Silent;
     Each->run(seconds(5));
@@ -401,7 +383,7 @@
 
 // Guards against allocations on the path of established packets.
 TEST(BalancerTest, WarmPacketAllocatesNothing) {
-  Driver Run(makeTable(photoRows(EqualWeights)));
+  Driver Run(sampleTable(photoRows(EqualWeights)));
   const auto Packet = makePacket(1, Photos);
   ASSERT_TRUE(Run.forward(Packet).has_value());
   const AllocationProbe Allocations;
