Add the agent decision logic

Change: flow.h (state machine in Boost.MSM, sequence numbers that tell incarnations apart), opening.h (the home's coordination), locate.h (search for an owner), refusal.h (records of declines) and agent.h, which ties them together: events, `Instant Now` and a seed in, actions out. The machines are run once into a table, since a machine in each record would cost hundreds of bytes. Tested: agent-test 45, flow-test 13, opening-test 5, locate-test 4, refusal-test 2 cases, all pass; 1,000 request/answer exchanges on the warm established path allocate nothing. Conclusion: the process and the stateful test can be built on agent.h.

--- /dev/null
+++ b/src/flow.cc
@@ -0,0 +1,316 @@
+#include "mulberryhoist/flow.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace mulberryhoist {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::Row;
+
+/// The largest window that TCP allows (RFC 7323); a packet further away from
+/// the expected numbers belongs to another incarnation.
+constexpr std::uint32_t MaxWindow = 1U << 30U;
+
+/// The window for adopted flows, whose initial numbers are unknown: larger than
+/// what is in flight in practice, and small enough to tell incarnations apart.
+constexpr std::uint32_t AdoptedWindow = 1U << 26U;
+
+/// Puts the machine into a state, from which one event is processed.
+template <FlowState State> struct Enter {};
+template <FlowEvent Event> struct Occur {};
+
+template <FlowState Value> struct StateOf : msm::front::state<> {
+  template <typename EventType, typename Machine>
+  void on_entry(const EventType & /*Event*/, Machine &Owner) {
+    Owner.Current = Value;
+  }
+};
+
+struct FlowDefinition : msm::front::state_machine_def<FlowDefinition> {
+  struct Start : msm::front::state<> {};
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM reads this name.
+  using initial_state = Start;
+  using Queued = StateOf<FlowState::Queued>;
+  using HalfOpen = StateOf<FlowState::HalfOpen>;
+  using Answered = StateOf<FlowState::Answered>;
+  using Established = StateOf<FlowState::Established>;
+  using Adopted = StateOf<FlowState::Adopted>;
+  using Closing = StateOf<FlowState::Closing>;
+  using Ended = StateOf<FlowState::Ended>;
+  using SlotGranted = Occur<FlowEvent::SlotGranted>;
+  using UpstreamAnswered = Occur<FlowEvent::UpstreamAnswered>;
+  using CallerAcknowledged = Occur<FlowEvent::CallerAcknowledged>;
+  using BothFinished = Occur<FlowEvent::BothFinished>;
+  using Terminated = Occur<FlowEvent::Terminated>;
+
+  // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM reads this name.
+  struct transition_table : boost::mpl::vector<
+      Row<Start, Enter<FlowState::Queued>, Queued>,
+      Row<Start, Enter<FlowState::HalfOpen>, HalfOpen>,
+      Row<Start, Enter<FlowState::Answered>, Answered>,
+      Row<Start, Enter<FlowState::Established>, Established>,
+      Row<Start, Enter<FlowState::Adopted>, Adopted>,
+      Row<Start, Enter<FlowState::Closing>, Closing>,
+      Row<Start, Enter<FlowState::Ended>, Ended>,
+      Row<Queued, SlotGranted, HalfOpen>,
+      Row<Queued, Terminated, Ended>,
+      Row<HalfOpen, UpstreamAnswered, Answered>,
+      Row<HalfOpen, Terminated, Ended>,
+      Row<Answered, CallerAcknowledged, Established>,
+      Row<Answered, Terminated, Ended>,
+      Row<Established, BothFinished, Closing>,
+      Row<Established, Terminated, Ended>,
+      Row<Adopted, BothFinished, Closing>,
+      Row<Adopted, Terminated, Ended>,
+      Row<Closing, Terminated, Ended>> {};
+  // clang-format on
+
+  template <typename Machine, typename EventType>
+  void no_transition(const EventType & /*Event*/, Machine & /*Owner*/,
+                     int /*State*/) {}
+
+  FlowState Current = FlowState::Ended;
+};
+
+using FlowMachine = msm::back::state_machine<FlowDefinition>;
+using Successors = std::array<FlowState, FlowEventCount>;
+
+template <FlowState From, FlowEvent Event> FlowState successor() {
+  FlowMachine Machine;
+  Machine.start();
+  Machine.process_event(Enter<From>{});
+  Machine.process_event(Occur<Event>{});
+  return Machine.Current;
+}
+
+template <FlowState From> Successors successors() {
+  return {successor<From, FlowEvent::SlotGranted>(),
+          successor<From, FlowEvent::UpstreamAnswered>(),
+          successor<From, FlowEvent::CallerAcknowledged>(),
+          successor<From, FlowEvent::BothFinished>(),
+          successor<From, FlowEvent::Terminated>()};
+}
+
+/// Runs the machine once for each state and event. A machine in each record
+/// would cost several hundred bytes a flow and allocate.
+std::array<Successors, FlowStateCount> makeTransitions() {
+  return {
+      successors<FlowState::Queued>(),   successors<FlowState::HalfOpen>(),
+      successors<FlowState::Answered>(), successors<FlowState::Established>(),
+      successors<FlowState::Adopted>(),  successors<FlowState::Closing>(),
+      successors<FlowState::Ended>()};
+}
+
+void advance(FlowRecord &Flow, FlowEvent Event) {
+  Flow.State = nextFlowState(Flow.State, Event);
+}
+
+bool isWithin(std::uint32_t Value, std::uint32_t Reference,
+              std::uint32_t Window) {
+  return Value - Reference < Window || Reference - Value < Window;
+}
+
+/// The one's complement sum of big-endian 16-bit words.
+std::uint32_t sumWords(PacketBytes Bytes) {
+  std::uint32_t Sum = 0;
+  for (std::size_t I = 0; I + 1 < Bytes.size(); I += 2) {
+    Sum += (std::uint32_t{Bytes[I]} << 8U) | Bytes[I + 1];
+  }
+  return Sum;
+}
+
+void putWord(std::span<std::uint8_t> Out, std::uint32_t Value) {
+  Out[0] = static_cast<std::uint8_t>(Value >> 8U);
+  Out[1] = static_cast<std::uint8_t>(Value);
+}
+
+} // namespace
+
+FlowState nextFlowState(FlowState State, FlowEvent Event) {
+  static const std::array<Successors, FlowStateCount> Transitions =
+      makeTransitions();
+  return Transitions[static_cast<std::size_t>(State)]
+                    [static_cast<std::size_t>(Event)];
+}
+
+std::string_view flowStateName(FlowState State) {
+  constexpr std::array<std::string_view, FlowStateCount> Names = {
+      "queued",  "half_open", "answered", "established",
+      "adopted", "closing",   "ended"};
+  return Names[static_cast<std::size_t>(State)];
+}
+
+PacketNumbers numbersOf(const PacketView &Packet) {
+  return {Packet.Sequence, Packet.Flags.Ack ? Packet.Acknowledgment : 0};
+}
+
+bool FlowRecord::hasUnacknowledgedAnswer() const {
+  return this->UpstreamKnown && this->CallerKnown &&
+         sequenceBefore(this->CallerAcknowledged, this->UpstreamNext);
+}
+
+FlowRecord makeOpeningRecord(const PacketView &Opening, ServiceId Service,
+                             Instant Now) {
+  FlowRecord Flow;
+  Flow.Service = Service;
+  Flow.Initial = Opening.Sequence;
+  Flow.Accepted = Now;
+  Flow.LastCaller = Now;
+  Flow.LastPacket = Now;
+  Flow.CallerNext = Opening.nextSequence();
+  Flow.CallerKnown = true;
+  return Flow;
+}
+
+FlowRecord makeAdoptedRecord(ServiceId Service, Instant Now) {
+  FlowRecord Flow;
+  Flow.State = FlowState::Adopted;
+  Flow.Service = Service;
+  Flow.Accepted = Now;
+  Flow.LastCaller = Now;
+  Flow.LastPacket = Now;
+  Flow.UpstreamSpan = MaxWindow;
+  return Flow;
+}
+
+bool fits(const FlowRecord &Flow, PacketNumbers Numbers) {
+  const bool IsAdopted = Flow.State == FlowState::Adopted;
+  const std::uint32_t Window = IsAdopted ? AdoptedWindow : MaxWindow;
+  const bool SequenceFits =
+      !Flow.CallerKnown || isWithin(Numbers.Sequence, Flow.CallerNext, Window);
+  if (Flow.State == FlowState::Queued || Flow.State == FlowState::Ended) {
+    return false;
+  }
+  if (Numbers.Acknowledgment == 0) {
+    return Flow.isHalfOpen() ? Numbers.Sequence == Flow.CallerNext
+                             : SequenceFits;
+  }
+  if (IsAdopted || Flow.UpstreamSpan == MaxWindow) {
+    // What was first seen after a restart may be a repeated segment, so that
+    // the numbers may lie on either side; the upstream's TCP checks them.
+    return SequenceFits &&
+           (!Flow.UpstreamKnown ||
+            isWithin(Numbers.Acknowledgment, Flow.UpstreamNext, Window));
+  }
+  return SequenceFits && Flow.UpstreamKnown &&
+         Flow.UpstreamNext - Numbers.Acknowledgment < Flow.UpstreamSpan;
+}
+
+RequestEvent recordCallerPacket(FlowRecord &Flow, const PacketView &Packet,
+                                Instant Now) {
+  Flow.LastCaller = Now;
+  Flow.LastPacket = Now;
+  if (Packet.Flags.Rst) {
+    // Only an exact reset is sure to end the flow at the upstream (RFC 5961);
+    // to another one its TCP answers with a challenge.
+    if (!Flow.CallerKnown || Packet.Sequence == Flow.CallerNext) {
+      advance(Flow, FlowEvent::Terminated);
+    }
+    return RequestEvent::None;
+  }
+  if (Packet.Flags.Ack) {
+    if (!Flow.CallerKnown ||
+        sequenceBefore(Flow.CallerAcknowledged, Packet.Acknowledgment) ||
+        Flow.State == FlowState::Answered) {
+      Flow.CallerAcknowledged = Packet.Acknowledgment;
+    }
+    advance(Flow, FlowEvent::CallerAcknowledged);
+  }
+  const std::uint32_t Next = Packet.nextSequence();
+  const bool IsNew = !Flow.CallerKnown || sequenceBefore(Flow.CallerNext, Next);
+  if (IsNew) {
+    Flow.CallerNext = Next;
+    Flow.CallerKnown = true;
+  }
+  if (Packet.Flags.Fin) {
+    Flow.CallerFinished = true;
+  }
+  if (Flow.CallerFinished && Flow.UpstreamFinished) {
+    advance(Flow, FlowEvent::BothFinished);
+  }
+  const bool Begins = IsNew && !Packet.Payload.empty();
+  if (!Begins) {
+    return RequestEvent::None;
+  }
+  Flow.RequestSeen = true;
+  return RequestEvent::Began;
+}
+
+RequestEvent recordUpstreamPacket(FlowRecord &Flow, const PacketView &Packet,
+                                  Instant Now) {
+  Flow.LastPacket = Now;
+  if (Packet.Flags.Rst) {
+    advance(Flow, FlowEvent::Terminated);
+    return RequestEvent::Ended;
+  }
+  const std::uint32_t Next = Packet.nextSequence();
+  if (Packet.Flags.Syn) {
+    // Before the caller acknowledged one, the latest SYN-ACK counts: an
+    // upstream that restarted only knows that one.
+    if (Flow.isHalfOpen()) {
+      Flow.UpstreamInitial = Packet.Sequence;
+      Flow.UpstreamNext = Next;
+      Flow.CallerAcknowledged = Packet.Sequence;
+      Flow.UnacknowledgedSince = Now;
+      Flow.UpstreamSpan = 1;
+      Flow.UpstreamKnown = true;
+      advance(Flow, FlowEvent::UpstreamAnswered);
+    }
+    return RequestEvent::None;
+  }
+  const bool IsNew =
+      !Flow.UpstreamKnown || sequenceBefore(Flow.UpstreamNext, Next);
+  if (IsNew) {
+    if (!Flow.hasUnacknowledgedAnswer()) {
+      Flow.UnacknowledgedSince = Now;
+    }
+    const std::uint32_t Added =
+        Flow.UpstreamKnown ? Next - Flow.UpstreamNext : 0;
+    Flow.UpstreamSpan = std::min(MaxWindow, Flow.UpstreamSpan + Added);
+    if (!Flow.CallerKnown && Packet.Flags.Ack) {
+      Flow.CallerNext = Packet.Acknowledgment;
+      Flow.CallerKnown = true;
+      Flow.CallerAcknowledged = Packet.Sequence;
+    }
+    Flow.UpstreamNext = Next;
+    Flow.UpstreamKnown = true;
+  }
+  if (Packet.Flags.Fin) {
+    Flow.UpstreamFinished = true;
+  }
+  if (Flow.CallerFinished && Flow.UpstreamFinished) {
+    advance(Flow, FlowEvent::BothFinished);
+  }
+  const bool EndsRequest = IsNew && (Packet.Flags.Psh || Packet.Flags.Fin);
+  return EndsRequest ? RequestEvent::Ended : RequestEvent::None;
+}
+
+ResetPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow) {
+  constexpr std::size_t IpHeader = 20;
+  constexpr std::size_t TcpHeader = ResetPacketSize - IpHeader;
+  constexpr std::uint8_t AckFlag = 0x10;
+  constexpr std::uint32_t TcpProtocol = 6;
+  ResetPacket Packet = makeReset(Key.Service, Key.Caller, Flow.UpstreamNext);
+  const std::span<std::uint8_t> Tcp = std::span(Packet).subspan(IpHeader);
+  putWord(Tcp.subspan(8), Flow.CallerNext >> 16U);
+  putWord(Tcp.subspan(10), Flow.CallerNext);
+  Tcp[13] = AckFlag;
+  putWord(Tcp.subspan(14), 0xFFFF);
+  putWord(Tcp.subspan(16), 0);
+  std::uint32_t Sum = sumWords(std::span(Packet).subspan(12));
+  Sum += TcpProtocol + static_cast<std::uint32_t>(TcpHeader);
+  while ((Sum >> 16U) != 0) {
+    Sum = (Sum & 0xFFFFU) + (Sum >> 16U);
+  }
+  putWord(Tcp.subspan(16), ~Sum);
+  return Packet;
+}
+
+} // namespace mulberryhoist
--- /dev/null
+++ b/src/opening.cc
@@ -0,0 +1,272 @@
+#include "mulberryhoist/opening.h"
+
+#include <algorithm>
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace mulberryhoist {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::Row;
+
+/// Puts the machine into a state, from which one event is processed.
+template <OpeningState State> struct Enter {};
+template <OpeningEvent Event> struct Occur {};
+
+template <OpeningState Value> struct StateOf : msm::front::state<> {
+  template <typename EventType, typename Machine>
+  void on_entry(const EventType & /*Event*/, Machine &Owner) {
+    Owner.Current = Value;
+  }
+};
+
+struct OpeningDefinition : msm::front::state_machine_def<OpeningDefinition> {
+  struct Start : msm::front::state<> {};
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM reads this name.
+  using initial_state = Start;
+  using Querying = StateOf<OpeningState::Querying>;
+  using Choosing = StateOf<OpeningState::Choosing>;
+  using Asking = StateOf<OpeningState::Asking>;
+  using Placed = StateOf<OpeningState::Placed>;
+  using Refused = StateOf<OpeningState::Refused>;
+  using Unanswered = StateOf<OpeningState::Unanswered>;
+
+  // A late acceptance by a candidate that was asked before counts in any open
+  // state. Only `Choosing` leads to an end: nobody's answer is awaited there.
+  // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM reads this name.
+  struct transition_table : boost::mpl::vector<
+      Row<Start, Enter<OpeningState::Querying>, Querying>,
+      Row<Start, Enter<OpeningState::Choosing>, Choosing>,
+      Row<Start, Enter<OpeningState::Asking>, Asking>,
+      Row<Start, Enter<OpeningState::Placed>, Placed>,
+      Row<Start, Enter<OpeningState::Refused>, Refused>,
+      Row<Start, Enter<OpeningState::Unanswered>, Unanswered>,
+      Row<Querying, Occur<OpeningEvent::QueriesDone>, Choosing>,
+      Row<Choosing, Occur<OpeningEvent::Asked>, Asking>,
+      Row<Choosing, Occur<OpeningEvent::Accepted>, Placed>,
+      Row<Choosing, Occur<OpeningEvent::AllDeclined>, Refused>,
+      Row<Choosing, Occur<OpeningEvent::OneSilent>, Unanswered>,
+      Row<Asking, Occur<OpeningEvent::Accepted>, Placed>,
+      Row<Asking, Occur<OpeningEvent::NotAccepted>, Choosing>> {};
+  // clang-format on
+
+  template <typename Machine, typename EventType>
+  void no_transition(const EventType & /*Event*/, Machine & /*Owner*/,
+                     int /*State*/) {}
+
+  OpeningState Current = OpeningState::Unanswered;
+};
+
+using OpeningMachine = msm::back::state_machine<OpeningDefinition>;
+using Successors = std::array<OpeningState, OpeningEventCount>;
+
+template <OpeningState From, OpeningEvent Event> OpeningState successor() {
+  OpeningMachine Machine;
+  Machine.start();
+  Machine.process_event(Enter<From>{});
+  Machine.process_event(Occur<Event>{});
+  return Machine.Current;
+}
+
+template <OpeningState From> Successors successors() {
+  return {successor<From, OpeningEvent::QueriesDone>(),
+          successor<From, OpeningEvent::Asked>(),
+          successor<From, OpeningEvent::Accepted>(),
+          successor<From, OpeningEvent::NotAccepted>(),
+          successor<From, OpeningEvent::AllDeclined>(),
+          successor<From, OpeningEvent::OneSilent>()};
+}
+
+/// Runs the machine once for each state and event, see flow.cc.
+std::array<Successors, OpeningStateCount> makeTransitions() {
+  return {successors<OpeningState::Querying>(),
+          successors<OpeningState::Choosing>(),
+          successors<OpeningState::Asking>(),
+          successors<OpeningState::Placed>(),
+          successors<OpeningState::Refused>(),
+          successors<OpeningState::Unanswered>()};
+}
+
+void advance(OpeningState &State, OpeningEvent Event) {
+  State = nextOpeningState(State, Event);
+}
+
+} // namespace
+
+OpeningState nextOpeningState(OpeningState State, OpeningEvent Event) {
+  static const std::array<Successors, OpeningStateCount> Transitions =
+      makeTransitions();
+  return Transitions[static_cast<std::size_t>(State)]
+                    [static_cast<std::size_t>(Event)];
+}
+
+Opening::Opening(FlowIncarnation Flow, ServiceId Service, PacketBytes Packet,
+                 std::span<const UpstreamId> Others, bool SelfTakesPart,
+                 std::uint64_t Query, Instant Now)
+    : Flow(Flow), Service(Service), Packet(Packet.begin(), Packet.end()),
+      Query(Query), Deadline(Now + LoadQueryTimeout) {
+  this->Candidates[0].Usable = SelfTakesPart;
+  this->Candidates[0].Replied = true;
+  for (const UpstreamId Id : Others) {
+    if (this->Count == MaxCandidates) {
+      break;
+    }
+    if (this->Count <= QueriedCandidates) {
+      this->QueriedIds[this->Count - 1] = Id;
+    }
+    this->Candidates[this->Count].Id = Id;
+    ++this->Count;
+  }
+  if (this->Count == 1) {
+    this->skipQueries();
+  }
+}
+
+void Opening::recordLoad(const LoadReply &Reply) {
+  Candidate *Found = this->find(Reply.Upstream);
+  if (Found == nullptr || this->State != OpeningState::Querying) {
+    return;
+  }
+  Found->Replied = true;
+  Found->Load = Reply.Load;
+  Found->Usable = Reply.Room && !Reply.Draining;
+  const std::size_t Last = this->queried().size();
+  const bool AllReplied =
+      std::all_of(this->Candidates.begin(), this->Candidates.begin() + Last + 1,
+                  [](const Candidate &Entry) { return Entry.Replied; });
+  if (AllReplied) {
+    advance(this->State, OpeningEvent::QueriesDone);
+  }
+}
+
+void Opening::skipQueries() { advance(this->State, OpeningEvent::QueriesDone); }
+
+bool Opening::recordAccepted(std::optional<UpstreamId> By) {
+  const Candidate *Found = this->find(By);
+  if (Found == nullptr || Found->Given == Answer::NotAsked) {
+    return false;
+  }
+  advance(this->State, OpeningEvent::Accepted);
+  return true;
+}
+
+bool Opening::recordDeclined(std::optional<UpstreamId> By) {
+  Candidate *Found = this->find(By);
+  if (Found == nullptr || Found->Given == Answer::NotAsked) {
+    return false;
+  }
+  const bool Awaited = Found->Given == Answer::Waiting;
+  Found->Given = Answer::Declined;
+  if (Awaited) {
+    advance(this->State, OpeningEvent::NotAccepted);
+  }
+  return true;
+}
+
+OpeningStep Opening::step(RetryBudget &Budget, Instant Now) {
+  if (this->State == OpeningState::Querying && Now >= this->Deadline) {
+    advance(this->State, OpeningEvent::QueriesDone);
+  }
+  if (this->State == OpeningState::Asking && Now >= this->Deadline) {
+    this->Candidates[this->LastAsked].Given = Answer::Silent;
+    advance(this->State, OpeningEvent::NotAccepted);
+  }
+  if (this->State != OpeningState::Choosing) {
+    return OpeningStep::Wait;
+  }
+  Candidate *Next = this->choose();
+  if (Next == nullptr && this->addFurther(Budget)) {
+    Next = this->choose();
+  }
+  if (Next == nullptr) {
+    return this->finish();
+  }
+  Next->Given = Answer::Waiting;
+  this->LastAsked = static_cast<std::size_t>(Next - this->Candidates.data());
+  this->Deadline = Now + OpeningTimeout;
+  advance(this->State, OpeningEvent::Asked);
+  return this->LastAsked == 0 ? OpeningStep::AskSelf : OpeningStep::AskOther;
+}
+
+std::span<const UpstreamId> Opening::queried() const {
+  const std::size_t Others = std::min(this->Count - 1, QueriedCandidates);
+  return std::span(this->QueriedIds).first(Others);
+}
+
+std::optional<UpstreamId> Opening::asked() const {
+  if (this->LastAsked == 0) {
+    return std::nullopt;
+  }
+  return this->Candidates[this->LastAsked].Id;
+}
+
+Opening::Candidate *Opening::find(std::optional<UpstreamId> Id) {
+  if (!Id) {
+    return this->Candidates.data();
+  }
+  for (std::size_t I = 1; I < this->Count; ++I) {
+    if (this->Candidates[I].Id == *Id) {
+      return &this->Candidates[I];
+    }
+  }
+  return nullptr;
+}
+
+Opening::Candidate *Opening::choose() {
+  Candidate *Best = nullptr;
+  for (std::size_t I = 0; I < this->Count; ++I) {
+    Candidate &Entry = this->Candidates[I];
+    const bool Askable = Entry.Usable && Entry.Given == Answer::NotAsked;
+    // The home comes first, so it wins ties.
+    if (Askable && (Best == nullptr || Entry.Load < Best->Load)) {
+      Best = &Entry;
+    }
+  }
+  return Best;
+}
+
+bool Opening::addFurther(RetryBudget &Budget) {
+  const std::size_t First = 1 + QueriedCandidates;
+  if (this->FurtherUsed || this->Count <= First) {
+    return false;
+  }
+  this->FurtherUsed = true;
+  if (!Budget.take(static_cast<std::uint32_t>(this->Count - First))) {
+    return false;
+  }
+  for (std::size_t I = First; I < this->Count; ++I) {
+    this->Candidates[I].Usable = true;
+  }
+  return true;
+}
+
+OpeningStep Opening::finish() {
+  const bool Refusable = this->canRefuse();
+  advance(this->State,
+          Refusable ? OpeningEvent::AllDeclined : OpeningEvent::OneSilent);
+  return Refusable ? OpeningStep::Refuse : OpeningStep::LeaveUnanswered;
+}
+
+bool Opening::canRefuse() const {
+  bool QueriesAnswered = true;
+  bool SomeDeclined = false;
+  for (std::size_t I = 0; I < this->Count; ++I) {
+    const Candidate &Entry = this->Candidates[I];
+    // Silence is not a decline: the opening may have reached the upstream.
+    if (Entry.Given == Answer::Silent || Entry.Given == Answer::Waiting) {
+      return false;
+    }
+    SomeDeclined = SomeDeclined || Entry.Given == Answer::Declined;
+    QueriesAnswered =
+        QueriesAnswered && (Entry.Replied || I > QueriedCandidates);
+  }
+  // A home that drains refuses only on knowledge of the others: the caller's
+  // next copy of the opening will reach another home.
+  return SomeDeclined || QueriesAnswered;
+}
+
+} // namespace mulberryhoist
--- /dev/null
+++ b/test/opening-test.cc
@@ -0,0 +1,97 @@
+#include "mulberryhoist/opening.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberryhoist {
+namespace {
+
+const std::vector<UpstreamId> Others = {{1}, {2}, {3}, {4}, {5}};
+constexpr Instant Start = Instant() + std::chrono::seconds(10);
+
+Opening makeOpening(bool SelfTakesPart = true) {
+  return {{}, {7}, {}, Others, SelfTakesPart, 1, Start};
+}
+
+void reply(Opening &Test, std::uint32_t Id, bool Room) {
+  Test.recordLoad({1, {Id}, Id, Room, false});
+}
+
+/// Declines whoever is asked until the opening ends; returns how many were.
+std::size_t declineAll(Opening &Test, RetryBudget &Budget) {
+  std::size_t Asked = 0;
+  for (;;) {
+    const OpeningStep Step = Test.step(Budget, Start);
+    if (Step != OpeningStep::AskSelf && Step != OpeningStep::AskOther) {
+      EXPECT_EQ(Step, OpeningStep::Refuse);
+      return Asked;
+    }
+    ++Asked;
+    EXPECT_TRUE(Test.recordDeclined(Test.asked()));
+  }
+}
+
+struct BudgetRow {
+  bool HasBudget;
+  std::size_t ExpectedAsked;
+};
+
+class BudgetTest : public testing::TestWithParam<BudgetRow> {};
+
+// Guards against retries beyond the budget, which would multiply an overload.
+TEST_P(BudgetTest, FurtherPairNeedsBudget) {
+  RetryBudget Budget;
+  while (!GetParam().HasBudget && Budget.take(1)) {
+  }
+  Opening Test = makeOpening();
+  reply(Test, 1, true);
+  EXPECT_EQ(Test.step(Budget, Start), OpeningStep::Wait);
+  reply(Test, 2, true);
+  EXPECT_EQ(declineAll(Test, Budget), GetParam().ExpectedAsked);
+}
+
+INSTANTIATE_TEST_SUITE_P(Budgets, BudgetTest,
+                         testing::Values(BudgetRow{true, 5},
+                                         BudgetRow{false, 3}));
+
+// Guards against waiting for a candidate that does not answer a query, and
+// against asking one that has no room.
+TEST(OpeningTest, AsksOnlyCandidatesWithRoom) {
+  RetryBudget Budget;
+  while (Budget.take(1)) {
+  }
+  Opening Test = makeOpening();
+  reply(Test, 1, false);
+  EXPECT_EQ(Test.step(Budget, Start), OpeningStep::Wait);
+  EXPECT_EQ(Test.step(Budget, Start + LoadQueryTimeout), OpeningStep::AskSelf);
+  EXPECT_TRUE(Test.recordDeclined(std::nullopt));
+  EXPECT_EQ(Test.step(Budget, Start), OpeningStep::Refuse);
+}
+
+// Guards against a home that drains and refuses without having heard of any
+// other candidate.
+TEST(OpeningTest, DrainingHomeDoesNotRefuseUnheard) {
+  RetryBudget Budget;
+  while (Budget.take(1)) {
+  }
+  Opening Test = makeOpening(false);
+  EXPECT_EQ(Test.step(Budget, Start + LoadQueryTimeout),
+            OpeningStep::LeaveUnanswered);
+}
+
+// Guards against a late acceptance that is lost while another one is asked.
+TEST(OpeningTest, LateAcceptanceCounts) {
+  RetryBudget Budget;
+  Opening Test = makeOpening(false);
+  reply(Test, 1, true);
+  reply(Test, 2, true);
+  EXPECT_EQ(Test.step(Budget, Start), OpeningStep::AskOther);
+  const auto First = Test.asked();
+  EXPECT_EQ(Test.step(Budget, Start + OpeningTimeout), OpeningStep::AskOther);
+  EXPECT_NE(Test.asked(), First);
+  EXPECT_FALSE(Test.recordAccepted(UpstreamId{5}));
+  EXPECT_TRUE(Test.recordAccepted(First));
+  EXPECT_EQ(Test.state(), OpeningState::Placed);
+}
+
+} // namespace
+} // namespace mulberryhoist
