--- a/test/standin/caller.cc
+++ b/test/standin/caller.cc
@@ -299,6 +299,13 @@
 
 std::size_t Caller::pending() const { return this->Impl->Pending; }
 
+std::size_t Caller::openFlows() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Impl->Flows, [](const auto &Item) {
+        return !Item.second.Tcp.isOver();
+      }));
+}
+
 std::uint64_t Caller::extraBytes() const { return this->Impl->ExtraBytes; }
 
 Result<std::vector<LoadClass>> parseMix(std::string_view Text) {
--- a/test/standin/caller.h
+++ b/test/standin/caller.h
@@ -85,6 +85,9 @@
   /// Requests that have no result yet.
   std::size_t pending() const;
 
+  /// Flows that are not closed on both sides yet.
+  std::size_t openFlows() const;
+
   /// Bytes that arrived after a whole answer; always a fault.
   std::uint64_t extraBytes() const;
 
