--- /dev/null
+++ b/test/exchange-test.cc
@@ -0,0 +1,79 @@
+#include "mulberryhoist/exchange.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+#include <string>
+
+namespace mulberryhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+PacketBytes bytesOf(const std::string &Text) {
+  return {reinterpret_cast<const std::uint8_t *>(Text.data()), Text.size()};
+}
+
+ChangesMessage changes(std::size_t Rows) {
+  ChangesMessage Message{DocumentKind::Table, {1, 2}, {1, 3}, 77,
+                         milliseconds(9),     true,   {}};
+  for (std::size_t I = 0; I < Rows; ++I) {
+    Message.Rows.push_back({"key" + std::to_string(I),
+                            "value",
+                            {1, I},
+                            I % 2 == 1,
+                            milliseconds(I)});
+  }
+  return Message;
+}
+
+TEST(ExchangeTest, MessagesSurviveTheCodec) {
+  const std::string Encoded = encodeExchange(changes(3));
+  const auto Decoded = decodeExchange(bytesOf(Encoded));
+  ASSERT_TRUE(Decoded) << Decoded.error().Detail;
+  const auto &Message = std::get<ChangesMessage>(*Decoded);
+  EXPECT_EQ(Message.Base, (DocumentVersion{1, 2}));
+  EXPECT_EQ(Message.Version, (DocumentVersion{1, 3}));
+  EXPECT_EQ(Message.Age, milliseconds(9));
+  ASSERT_EQ(Message.Rows.size(), 3U);
+  EXPECT_TRUE(Message.Rows[1].Deleted);
+  EXPECT_EQ(Message.Rows[1].DeletedAge, milliseconds(1));
+  EXPECT_EQ(encodeExchange(*Decoded), Encoded);
+  const auto Pull = decodeExchange(
+      bytesOf(encodeExchange(PullMessage{DocumentKind::VmList, {4, 5}, true})));
+  EXPECT_EQ(documentOf(*Pull), DocumentKind::VmList);
+  EXPECT_TRUE(std::get<PullMessage>(*Pull).Whole);
+}
+
+// Guards against arithmetic overflow with an age that a peer made up.
+TEST(ExchangeTest, AgesAreBounded) {
+  const DigestMessage Sent{DocumentKind::Table, {}, 0, milliseconds::max()};
+  const auto Decoded = decodeExchange(bytesOf(encodeExchange(Sent)));
+  EXPECT_EQ(std::get<DigestMessage>(*Decoded).Age, NeverConfirmed);
+}
+
+TEST(ExchangeTest, OversizedAndEmptyMessagesAreTypedErrors) {
+  const std::string Large(MaxExchangeBytes + 1, 'x');
+  EXPECT_EQ(decodeExchange(bytesOf(Large)).error().Kind,
+            ErrorKind::OversizedMessage);
+  EXPECT_EQ(decodeExchange({}).error().Kind, ErrorKind::MalformedMessage);
+}
+
+RC_GTEST_PROP(ExchangeFuzzTest, AnyBytesGiveAMessageOrAnError, ()) {
+  std::string Bytes = encodeExchange(changes(4));
+  for (int I = *rc::gen::inRange(0, 5); I > 0; --I) {
+    Bytes[*rc::gen::inRange<std::size_t>(0, Bytes.size())] =
+        *rc::gen::arbitrary<char>();
+  }
+  Bytes.resize(*rc::gen::inRange<std::size_t>(0, Bytes.size() + 1));
+  Replica Receiver(
+      DocumentKind::Table,
+      [](const DocumentContent &) { return Result<void>{}; }, 1);
+  std::vector<OutgoingMessage> Out;
+  if (const auto Message = decodeExchange(bytesOf(Bytes))) {
+    Receiver.receive({}, *Message, Instant(std::chrono::hours(1)), Out);
+  }
+}
+
+} // namespace
+} // namespace mulberryhoist
