--- a/include/mulberryhoist/agent.h
+++ b/include/mulberryhoist/agent.h
@@ -138,14 +138,28 @@
   Duration SinceCaller{};
 };
 
+/// Why an agent drains.
+enum class DrainReason : std::uint8_t { None, Table, VmList, Signal };
+
+/// What holds the upstream open for one service.
+struct ServiceDrain {
+  ServiceId Service;
+  std::size_t Flows = 0;
+  std::size_t Requests = 0;
+  std::size_t Queued = 0;
+};
+
 /// How far a drain has come.
 struct DrainProgress {
-  bool Draining = false;
+  DrainReason Reason = DrainReason::None;
   /// Empty unless the process was asked to terminate.
   std::optional<Duration> UntilDeadline;
   std::size_t Flows = 0;
-  std::size_t Working = 0;
+  std::size_t Requests = 0;
+  std::size_t Queued = 0;
+  Duration OldestFlow{};
   std::uint64_t Cut = 0;
+  std::vector<ServiceDrain> Services;
   /// Some of the flows that are left.
   std::vector<FlowStatus> Holders;
 };
@@ -204,7 +218,10 @@
   bool isDrained(Instant Now) const;
 
   /// True if no service may send new work here.
-  bool isDraining() const;
+  bool isDraining() const { return this->drainReason() != DrainReason::None; }
+
+  /// Why no new work is taken; `None` if it is.
+  DrainReason drainReason() const;
 
   /// Explains what the agent knows about a flow.
   std::string explain(const FlowKey &Key, Instant Now) const;
--- a/src/agent.cc
+++ b/src/agent.cc
@@ -160,13 +160,21 @@
          this->Openings.empty();
 }
 
-bool AgentLogic::isDraining() const {
-  if (this->TerminateAt || this->Leaving || !this->InForce) {
-    return true;
+DrainReason AgentLogic::drainReason() const {
+  if (this->TerminateAt) {
+    return DrainReason::Signal;
+  }
+  if (this->Leaving) {
+    return DrainReason::VmList;
+  }
+  if (!this->InForce) {
+    return DrainReason::Table;
   }
   const auto Rows = this->InForce->assignments(this->Settings.Self);
-  return std::none_of(Rows.begin(), Rows.end(),
-                      [](const Assignment &Row) { return Row.Weight > 0; });
+  const bool TakesWork =
+      std::any_of(Rows.begin(), Rows.end(),
+                  [](const Assignment &Row) { return Row.Weight > 0; });
+  return TakesWork ? DrainReason::None : DrainReason::Table;
 }
 
 std::string AgentLogic::explain(const FlowKey &Key, Instant Now) const {
@@ -202,20 +210,31 @@
 DrainProgress AgentLogic::drainProgress(std::size_t MaxHolders,
                                         Instant Now) const {
   DrainProgress Progress;
-  Progress.Draining = this->isDraining();
-  Progress.Flows = this->Flows.size();
+  Progress.Reason = this->drainReason();
   Progress.Cut =
       this->Counters.Resets[static_cast<std::size_t>(EndReason::Cut)];
   if (this->TerminateAt) {
     const Instant End = *this->TerminateAt + this->Settings.DrainDeadline;
     Progress.UntilDeadline = std::max(Duration::zero(), End - Now);
   }
+  std::unordered_map<ServiceId, ServiceDrain> Services;
   for (const auto &[Key, Flow] : this->Flows) {
-    Progress.Working += Flow.Working ? 1 : 0;
+    ServiceDrain &Each = Services[Flow.Service];
+    Each.Service = Flow.Service;
+    ++Each.Flows;
+    Each.Requests += Flow.Working ? 1 : 0;
+    Each.Queued += Flow.State == FlowState::Queued ? 1 : 0;
+    Progress.OldestFlow = std::max(Progress.OldestFlow, Now - Flow.Accepted);
     if (Progress.Holders.size() < MaxHolders) {
       Progress.Holders.push_back(this->flowStatus(Key, Flow, Now));
     }
   }
+  for (const auto &[Id, Each] : Services) {
+    Progress.Flows += Each.Flows;
+    Progress.Requests += Each.Requests;
+    Progress.Queued += Each.Queued;
+    Progress.Services.push_back(Each);
+  }
   return Progress;
 }
 
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -498,7 +498,10 @@
   EXPECT_TRUE(Test.sent<ProbeReply>()[0].Draining);
   Test.tick(MinimumDrain);
   EXPECT_FALSE(Test.Agent.isDrained(Test.Now));
-  EXPECT_EQ(Test.Agent.drainProgress(10, Test.Now).Holders.size(), 1U);
+  const DrainProgress Progress = Test.Agent.drainProgress(10, Test.Now);
+  EXPECT_EQ(Progress.Reason, DrainReason::Signal);
+  EXPECT_EQ(Progress.Holders.size(), 1U);
+  EXPECT_EQ(Progress.UntilDeadline, seconds(600) - MinimumDrain);
   Test.serve();
   Test.fromCaller({"FA", Isn + 8, Up + 7});
   Test.fromUpstream({"FA", Up + 7, Isn + 9});
