Keep the last tenth of the connections for services within their share

Cause: flows of a flood that stay open after their request could use up the connection limit, so that other services were declined although slots were free. Change: connections are counted by service; above 90 % of the limit only a service below its part is admitted. A SYN-ACK of an earlier incarnation no longer changes the numbers of an answered flow. Tested: admission-test 18 and agent-test 45 cases pass with the change; the new case was not run against the earlier code. Conclusion: shares hold for connections as well as for slots and the queue.

--- a/include/mulberryhoist/admission.h
+++ b/include/mulberryhoist/admission.h
@@ -22,6 +22,11 @@
 /// only hold openings that miss their deadline.
 inline constexpr std::uint32_t QueuePerSlot = 8;
 
+/// The part of the connections that every service may use. The rest is kept for
+/// services within their share, so that a flood of flows that stay open leaves
+/// room for others.
+inline constexpr double CommonConnections = 0.9;
+
 /// How long an agent reports a scaled load after its start.
 inline constexpr Duration ColdStartPeriod = std::chrono::seconds(30);
 
@@ -94,8 +99,8 @@
   void endWork(ServiceId Service, Instant Now);
 
   /// Counts a flow against the connection limit.
-  void addConnection() { ++this->Connections; }
-  void removeConnection() { --this->Connections; }
+  void addConnection(ServiceId Service);
+  void removeConnection(ServiceId Service);
 
   /// True if an opening of this service would not be declined now.
   bool hasRoom(ServiceId Service) const;
@@ -117,6 +122,7 @@
     ServiceShare Share;
     bool Listed = true;
     std::uint32_t Busy = 0;
+    std::uint32_t Connections = 0;
     /// Used slot time in nanoseconds per share.
     double Used = 0;
     std::deque<WaitingOpening> Entries;
@@ -128,7 +134,9 @@
   const Queue *find(ServiceId Service) const;
   Queue &findOrAdd(ServiceId Service);
   std::uint32_t queueCapacity() const;
-  double queuePart(const Queue &Entry) const;
+  /// The service's part of what all listed services share.
+  double partOf(const Queue &Entry, std::uint32_t Whole) const;
+  bool mayConnect(const Queue &Entry) const;
   Queue *chooseToShed(const Queue &Newcomer);
   void charge(Instant Now);
   void activate(Queue &Entry);
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -22,7 +22,7 @@
     Entry.Listed = true;
   }
   std::erase_if(this->Queues, [](const Queue &Entry) {
-    return !Entry.Listed && !Entry.isActive();
+    return !Entry.Listed && !Entry.isActive() && Entry.Connections == 0;
   });
 }
 
@@ -31,8 +31,7 @@
                                  std::vector<WaitingOpening> &Shed) {
   this->charge(Now);
   Queue *Entry = this->find(Service);
-  if (Entry == nullptr || !Entry->Listed ||
-      this->Connections >= this->Limits.Connections) {
+  if (Entry == nullptr || !Entry->Listed || !this->mayConnect(*Entry)) {
     return AdmissionAnswer::Declined;
   }
   this->activate(*Entry);
@@ -127,15 +126,27 @@
   --this->Busy;
 }
 
+void Admission::addConnection(ServiceId Service) {
+  ++this->findOrAdd(Service).Connections;
+  ++this->Connections;
+}
+
+void Admission::removeConnection(ServiceId Service) {
+  Queue *Entry = this->find(Service);
+  if (Entry != nullptr && Entry->Connections > 0) {
+    --Entry->Connections;
+    --this->Connections;
+  }
+}
+
 bool Admission::hasRoom(ServiceId Service) const {
   const Queue *Entry = this->find(Service);
-  if (Entry == nullptr || !Entry->Listed ||
-      this->Connections >= this->Limits.Connections) {
+  if (Entry == nullptr || !Entry->Listed || !this->mayConnect(*Entry)) {
     return false;
   }
   return this->Waiting < this->queueCapacity() ||
          static_cast<double>(Entry->Entries.size()) + 1.0 <=
-             this->queuePart(*Entry);
+             this->partOf(*Entry, this->queueCapacity());
 }
 
 std::uint32_t Admission::load(std::uint32_t Weight, Instant Now) const {
@@ -183,12 +194,21 @@
   return this->Limits.Slots * QueuePerSlot;
 }
 
-double Admission::queuePart(const Queue &Entry) const {
+double Admission::partOf(const Queue &Entry, std::uint32_t Whole) const {
   double Sum = 0;
   for (const Queue &Other : this->Queues) {
     Sum += Other.Listed ? Other.Share.Share : 0U;
   }
-  return Sum > 0 ? this->queueCapacity() * (Entry.Share.Share / Sum) : 0;
+  return Sum > 0 ? Whole * (Entry.Share.Share / Sum) : 0;
+}
+
+bool Admission::mayConnect(const Queue &Entry) const {
+  const std::uint32_t Limit = this->Limits.Connections;
+  if (this->Connections >= Limit) {
+    return false;
+  }
+  return this->Connections < Limit * CommonConnections ||
+         Entry.Connections < this->partOf(Entry, Limit);
 }
 
 Admission::Queue *Admission::chooseToShed(const Queue &Newcomer) {
@@ -197,7 +217,7 @@
   const auto Excess = [this, &Newcomer](const Queue &Entry) {
     const double Own = &Entry == &Newcomer ? 1.0 : 0.0;
     return static_cast<double>(Entry.Entries.size()) + Own -
-           this->queuePart(Entry);
+           this->partOf(Entry, this->queueCapacity());
   };
   Queue *Worst = nullptr;
   for (Queue &Entry : this->Queues) {
--- a/src/agent-flow.cc
+++ b/src/agent-flow.cc
@@ -74,7 +74,7 @@
       this->Flows.emplace(Key, makeAdoptedRecord(Wanted, Now)).first->second;
   Flow.ProbationEnd = Now + AdoptTimeout;
   Flow.AdoptedFrom = From;
-  this->Admitted.addConnection();
+  this->Admitted.addConnection(Wanted);
   ++this->Counters.Adopted;
   if (recordCallerPacket(Flow, Input.View, Now) == RequestEvent::Began) {
     this->setWorking(Flow, true, Now);
@@ -371,7 +371,7 @@
   const ServiceId Wanted = Listed != nullptr ? Listed->Id : ServiceId{};
   FlowRecord &Flow =
       this->Flows.emplace(Key, makeAdoptedRecord(Wanted, Now)).first->second;
-  this->Admitted.addConnection();
+  this->Admitted.addConnection(Wanted);
   ++this->Counters.Adopted;
   recordUpstreamPacket(Flow, View, Now);
 }
@@ -384,6 +384,8 @@
     return true;
   case FlowState::HalfOpen:
     return !Answers && (View.Flags.Syn || View.Flags.Rst);
+  case FlowState::Answered:
+    return !Answers && View.Flags.Syn;
   case FlowState::Established:
   case FlowState::Closing:
     // Only a repetition of the known SYN-ACK may still reach the caller.
@@ -402,8 +404,8 @@
     this->WaitingPackets.erase(Key);
   }
   this->setWorking(Flow, false, Now);
+  this->Admitted.removeConnection(Flow.Service);
   this->Flows.erase(Found);
-  this->Admitted.removeConnection();
   ++this->Counters.FlowsEnded;
   this->startWaiting(Now, Out);
 }
--- a/src/agent-opening.cc
+++ b/src/agent-opening.cc
@@ -282,7 +282,7 @@
   FlowRecord &Flow =
       this->Flows.emplace(Key, makeOpeningRecord(View, Service, Now))
           .first->second;
-  this->Admitted.addConnection();
+  this->Admitted.addConnection(Service);
   ++this->Counters.Accepted;
   if (Answer == AdmissionAnswer::Started) {
     Flow.State = nextFlowState(Flow.State, FlowEvent::SlotGranted);
@@ -309,7 +309,7 @@
   this->refuse({Waiting.Key, Found->second.Initial}, Packet->second, Now, Out);
   this->WaitingPackets.erase(Packet);
   this->Flows.erase(Found);
-  this->Admitted.removeConnection();
+  this->Admitted.removeConnection(Waiting.Service);
   ++this->Counters.FlowsEnded;
 }
 
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -143,11 +143,27 @@
 TEST(AdmissionTest, ConnectionLimitDeclines) {
   Fixture Test({Orders, 1, 1}, {Previews, 1, 1}, 4, 1);
   EXPECT_EQ(Test.offer(Orders), AdmissionAnswer::Started);
-  Test.Subject.addConnection();
+  Test.Subject.addConnection(Orders);
   EXPECT_FALSE(Test.Subject.hasRoom(Orders));
   EXPECT_EQ(Test.offer(Orders), AdmissionAnswer::Declined);
 }
 
+// Guards against a flood of flows that stay open and leave no connection for a
+// service within its share.
+TEST(AdmissionTest, LastConnectionsAreForServicesWithinTheirShare) {
+  Fixture Test({Orders, 1, 1}, {Previews, 1, 1}, 4, 100);
+  std::uint32_t Open = 0;
+  while (Test.Subject.hasRoom(Previews)) {
+    Test.Subject.addConnection(Previews);
+    ++Open;
+  }
+  EXPECT_EQ(Open, 90U);
+  EXPECT_EQ(Test.offer(Orders), AdmissionAnswer::Started);
+  EXPECT_EQ(Test.offer(Previews), AdmissionAnswer::Declined);
+  Test.Subject.removeConnection(Previews);
+  EXPECT_EQ(Test.offer(Previews), AdmissionAnswer::Started);
+}
+
 // Guards against work of a service that lost its row being counted forever, and
 // against new work of it.
 TEST(AdmissionTest, UnlistedServiceEndsItsWork) {
