Bring a change to a fleet of the target size in a test

Cause: the bound of 9 s has to hold for 7,800 processes, not only for six. A process that refuses what its neighbours accepted, for example during an upgrade, pulled the whole table again every second.

Change: a test runs 7,800 replicas with the neighbours of their VM list and 100 ms a hop. A refused content is not pulled again for 30 s; the new test for this guards the rule.

--- a/src/replication.cc
+++ b/src/replication.cc
@@ -17,6 +17,10 @@
 
 /// How long a pull may stay unanswered before another neighbour is asked.
 constexpr Duration PullTimeout = seconds(1);
+/// A content that failed the checks here is not pulled again for this long.
+/// Neighbours of another program version may have accepted it and announce it
+/// every second.
+constexpr Duration RefusedContentPause = seconds(30);
 /// A neighbour whose last confirmed read is older than the own one by this much
 /// is told the younger age.
 constexpr milliseconds AgeDifference{1000};
@@ -200,6 +204,8 @@
   Tombstones Removed;
   std::optional<Instant> ConfirmedAt;
   ReplicaCounters Counters;
+  std::pair<DocumentVersion, std::uint64_t> Refused;
+  Instant RefusedUntil;
   PullMachine Pulls;
   Instant PullDeadline;
 
@@ -419,6 +425,8 @@
       this->Checker(contentOf(New.Version, New.Live, NewRemoved));
   if (!Checked) {
     ++this->Counters.InvalidRejected;
+    this->Refused = {New.Version, New.Digest};
+    this->RefusedUntil = Now + RefusedContentPause;
     return this->refuse(Checked.error().Kind, Checked.error().Detail);
   }
   const DocumentVersion Before = this->Version;
@@ -461,6 +469,9 @@
                               Instant Now, std::vector<OutgoingMessage> &Out) {
   const auto Theirs = std::pair(Message.Version, Message.Digest);
   const auto Own = std::pair(this->Version, this->Digest);
+  if (Theirs == this->Refused && Now < this->RefusedUntil) {
+    return;
+  }
   if (Theirs > Own) {
     const bool Whole =
         this->Version == DocumentVersion{} || this->Version == Message.Version;
--- a/test/replication-test.cc
+++ b/test/replication-test.cc
@@ -7,7 +7,9 @@
 #include <map>
 #include <rapidcheck/gtest.h>
 #include <rapidcheck/state.h>
-#include <set>
+#include <utility>
+
+#include "mulberryhoist/membership.h"
 
 namespace mulberryhoist {
 namespace {
@@ -483,6 +485,126 @@
   EXPECT_EQ(Both.Second.sinceConfirmed(Both.Now), milliseconds(500));
 }
 
+// Guards against pulling a whole table every second because this process
+// refuses what its neighbours have accepted.
+TEST(ReplicationTest, ARefusedContentIsNotPulledAgainAtOnce) {
+  Pair Both;
+  Both.Second = Replica(
+      DocumentKind::Table,
+      [](const DocumentContent &) -> Result<void> {
+        return makeError(ErrorKind::InvalidTable, "not understood");
+      },
+      5);
+  Both.Second.setNeighbours({address(1)});
+  Both.read(1, {{0, 5}});
+  EXPECT_EQ(Both.Second.counters().InvalidRejected, 1U);
+  for (int I = 0; I < 20; ++I) {
+    Both.Now += seconds(1);
+    Both.tick();
+  }
+  EXPECT_EQ(Both.Second.counters().InvalidRejected, 1U);
+  Both.Now += seconds(20);
+  Both.tick();
+  EXPECT_EQ(Both.Second.counters().InvalidRejected, 2U);
+}
+
+/// A fleet with the neighbours of its VM list, one turn every 100 ms.
+class Fleet {
+public:
+  /// `Zones` availability zones in regions of three, with `PerZone` processes.
+  Fleet(std::size_t Zones, std::size_t PerZone) {
+    for (std::size_t I = 0; I < Zones * PerZone; ++I) {
+      const std::size_t Zone = I % Zones;
+      this->List.Vms.push_back({fmt::format("p{:05}", I),
+                                VmRole::Balancer,
+                                fmt::format("r{}-{}", Zone / 3, Zone),
+                                VmState::Live,
+                                {0x7F000001U, static_cast<std::uint16_t>(I)},
+                                {}});
+    }
+    for (const Vm &Each : this->List.Vms) {
+      this->Replicas.emplace_back(
+          DocumentKind::Table,
+          [](const DocumentContent &) { return Result<void>{}; },
+          Each.Control.Port);
+      this->Replicas.back().setNeighbours(
+          chooseNeighbours(this->List, Each.Name, Each.AvailabilityZone));
+    }
+  }
+
+  std::size_t size() const { return this->Replicas.size(); }
+
+  void read(std::size_t Process, std::uint64_t Revision) {
+    std::vector<OutgoingMessage> Out;
+    const std::vector<RowText> Rows = {{"row", std::to_string(Revision)}};
+    ASSERT_TRUE(
+        this->Replicas[Process].offerRead({1, Revision}, Rows, this->Now, Out));
+    this->send(Process, std::move(Out));
+  }
+
+  /// Delivers what was sent in the turn before.
+  void turn() {
+    this->Now += Turn;
+    ++this->Turns;
+    for (InTransit &Each : std::exchange(this->Messages, {})) {
+      std::vector<OutgoingMessage> Out;
+      this->Replicas[Each.To].receive(this->List.Vms[Each.From].Control,
+                                      Each.Body, this->Now, Out);
+      this->send(Each.To, std::move(Out));
+    }
+    for (std::size_t I = this->Turns % 10; I < this->size(); I += 10) {
+      std::vector<OutgoingMessage> Out;
+      this->Replicas[I].tick(this->Now, Out);
+      this->send(I, std::move(Out));
+    }
+  }
+
+  /// Turns until all have the revision; returns the time that it took.
+  Duration untilAllHave(std::uint64_t Revision) {
+    const Instant Start = this->Now;
+    while (this->Now - Start < seconds(60) &&
+           std::any_of(this->Replicas.begin(), this->Replicas.end(),
+                       [Revision](const Replica &Each) {
+                         return Each.version().Revision != Revision;
+                       })) {
+      this->turn();
+    }
+    return this->Now - Start;
+  }
+
+private:
+  void send(std::size_t From, std::vector<OutgoingMessage> Out) {
+    for (OutgoingMessage &Each : Out) {
+      this->Messages.push_back(
+          {From, Each.To.Port, std::move(Each.Body), this->Now});
+    }
+  }
+
+  VmList List;
+  std::vector<Replica> Replicas;
+  std::vector<InTransit> Messages;
+  Instant Now{std::chrono::hours(1)};
+  std::size_t Turns = 0;
+};
+
+// Guards against a rule that only works in small fleets: at the target size one
+// process that reads a change must bring it to all 7,800 within 9 s, whether
+// they had the version before or have just started.
+TEST(ReplicationTest, OneReaderBringsAChangeToAFleetOfTheTargetSize) {
+  Fleet All(20, 390);
+  All.read(0, 1);
+  const Duration First = All.untilAllHave(1);
+  All.read(7000, 2);
+  const Duration Second = All.untilAllHave(2);
+  const auto InMs = [](Duration Time) {
+    return std::chrono::duration_cast<milliseconds>(Time).count();
+  };
+  fmt::print("first content {} ms, row change {} ms\n", InMs(First),
+             InMs(Second));
+  EXPECT_LE(First, InForceBound);
+  EXPECT_LE(Second, InForceBound);
+}
+
 /// Runs a schedule for a minute and returns the times of the calls.
 std::vector<Duration> callsInAMinute(std::uint64_t Seed, bool Reader,
                                      ReadOutcome Outcome) {
