--- a/test/allocation-counter.h
+++ b/test/allocation-counter.h
@@ -27,9 +27,13 @@
 
 namespace detail {
 
-inline void *countedAllocate(std::size_t Size) {
+inline void *countedAllocateOrNull(std::size_t Size) {
   ++AllocationCount;
-  void *Memory = std::malloc(Size == 0 ? 1 : Size);
+  return std::malloc(Size == 0 ? 1 : Size);
+}
+
+inline void *countedAllocate(std::size_t Size) {
+  void *Memory = countedAllocateOrNull(Size);
   if (Memory == nullptr) {
     throw std::bad_alloc();
   }
@@ -48,6 +52,12 @@
 void *operator new[](std::size_t Size) {
   return mulberryhoist::detail::countedAllocate(Size);
 }
+void *operator new(std::size_t Size, const std::nothrow_t &) noexcept {
+  return mulberryhoist::detail::countedAllocateOrNull(Size);
+}
+void *operator new[](std::size_t Size, const std::nothrow_t &) noexcept {
+  return mulberryhoist::detail::countedAllocateOrNull(Size);
+}
 void operator delete(void *Memory) noexcept { std::free(Memory); }
 void operator delete[](void *Memory) noexcept { std::free(Memory); }
 void operator delete(void *Memory, std::size_t) noexcept { std::free(Memory); }
