Charge a waiting watch for every second in the platform stand-in

Cause: a turn that came late charged one second even if two had passed, so the call count depended on how busy the machine was.

Change: all seconds that have passed are charged before the watch may end.

Conclusion: the count of calls no longer depends on the turn of the timer.

--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -195,12 +195,16 @@
     bool Over = this->Now == Mode::Down;
     HttpAnswer Answer{.Drop = Over};
     if (!Over && this->Now != Mode::Silent) {
+      // Every second is charged, also those that a late turn finds together.
+      bool Charged = true;
+      for (; Charged && Entry->NextCharge <= std::min(Now, Entry->Until);
+           Entry->NextCharge += OneSecond) {
+        Charged = this->takeToken(Now);
+      }
       Answer = this->answer(*Entry->Wanted, Entry->After);
-      Over = Answer.Status != 304 || Now >= Entry->Until;
-      if (!Over && Now >= Entry->NextCharge) {
-        Entry->NextCharge += OneSecond;
-        Over = !this->takeToken(Now);
-        Answer.Status = Over ? 429 : Answer.Status;
+      Over = Answer.Status != 304 || Now >= Entry->Until || !Charged;
+      if (!Charged) {
+        Answer = {.Status = 429};
       }
     }
     if (!Over) {
