Add the link stand-in and partitions of a fleet

Cause: the fabric sees only packets from and to callers, so it cannot separate balancers and agents from each other.

Change: Link relays the datagrams of one process, with a socket of its own for each sender, and drops them across a partition. Fleet puts one in front of each agent on request (Links) and sets the partition by names. TCP between processes is not cut.

The partition of a whole fleet has not been run.

Conclusion: tests can separate balancers and agents.

--- a/test/path/fleet.cc
+++ b/test/path/fleet.cc
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "standin/link.h"
+
 namespace mulberryhoist::path {
 namespace {
 
@@ -51,6 +53,7 @@
   Node Value;
   Value.Name = std::move(Name);
   Value.Data = freeEndpoint();
+  Value.Published = Value.Data;
   Value.Control = freeEndpoint();
   Value.Admin = freeEndpoint();
   return Value;
@@ -84,6 +87,8 @@
   std::mutex Guard;
   std::vector<standin::CallResult> Results;
   std::unique_ptr<standin::Caller> Client;
+  standin::FarSide Far;
+  std::vector<std::unique_ptr<standin::Link>> Links;
 };
 
 Fleet::Fleet(FleetOptions Options) : Options(std::move(Options)) {}
@@ -248,6 +253,9 @@
     return makeError(ErrorKind::PeerUnreachable, "an upstream did not start");
   }
   auto Outcome = this->startAgent(*Value);
+  if (Outcome && this->Options.Links) {
+    Outcome = this->addLink(*Value);
+  }
   this->Sites.insert_or_assign(Name, std::move(Value));
   return Outcome;
 }
@@ -278,6 +286,29 @@
   return {};
 }
 
+Result<void> Fleet::addLink(Site &Value) {
+  return this->From->Thread.run([&](standin::io_context &Io) -> Result<void> {
+    auto Created = standin::Link::create(Io, freeEndpoint(), Value.Agent.Data,
+                                         this->From->Far);
+    if (!Created) {
+      return tl::unexpected(Created.error());
+    }
+    Value.Agent.Published = (*Created)->address();
+    this->From->Links.push_back(std::move(*Created));
+    return {};
+  });
+}
+
+void Fleet::partition(const std::vector<std::string> &Names) {
+  standin::FarSide Far;
+  for (const Node *Value : this->nodes()) {
+    if (std::ranges::find(Names, Value->Name) != Names.end()) {
+      Far.insert(Value->Data);
+    }
+  }
+  this->From->Thread.run([&](standin::io_context &) { this->From->Far = Far; });
+}
+
 Result<void> Fleet::restartAgent(const std::string &Name) {
   Site &Value = *this->Sites.at(Name);
   Value.Agent.Running.reset();
@@ -299,11 +330,12 @@
   for (const TableRow &Row : this->Rows) {
     const auto Service = std::ranges::find(this->Options.Services, Row.Service,
                                            &ServiceSpec::Name);
-    Csv += fmt::format("{},{},{},{},{},{},{},{},{},{}\n", Service->Name,
-                       formatEndpoint(Service->Address), Service->Class,
-                       Service->Share, Row.Upstream,
-                       formatEndpoint(this->Sites.at(Row.Upstream)->Agent.Data),
-                       Zone, Row.Weight, Slots, Connections);
+    Csv += fmt::format(
+        "{},{},{},{},{},{},{},{},{},{}\n", Service->Name,
+        formatEndpoint(Service->Address), Service->Class, Service->Share,
+        Row.Upstream,
+        formatEndpoint(this->Sites.at(Row.Upstream)->Agent.Published), Zone,
+        Row.Weight, Slots, Connections);
   }
   return Csv + fmt::format("end,{}\n", this->Rows.size());
 }
@@ -315,7 +347,7 @@
     Lines += fmt::format("{},{},{},{},{},{}\n", Value->Name,
                          IsBalancer ? "balancer" : "agent", Zone, Value->State,
                          formatEndpoint(Value->Control),
-                         formatEndpoint(Value->Data));
+                         formatEndpoint(Value->Published));
   }
   return Lines;
 }
--- a/test/path/fleet.h
+++ b/test/path/fleet.h
@@ -35,6 +35,8 @@
 
 /// Which processes to begin with.
 struct FleetOptions {
+  /// Put a relay in front of each agent, so that `partition` works.
+  bool Links = false;
   /// Directory of the built programs.
   std::filesystem::path Programs;
   std::size_t Balancers = 2;
@@ -51,6 +53,8 @@
 struct Node {
   std::string Name;
   Endpoint Data;
+  /// The address in table and VM list: `Data` or that of the relay before it.
+  Endpoint Published;
   Endpoint Control;
   Endpoint Admin;
   std::string State = "live";
@@ -111,6 +115,11 @@
   Result<void> cut(Endpoint Address);
   Result<void> heal();
 
+  /// Separates the named balancers and agents from all others, for datagrams
+  /// between processes of the product; no names end the partition. The document
+  /// exchange over TCP is not cut.
+  void partition(const std::vector<std::string> &Names);
+
   /// Sends a request from the fleet's own caller; poll `results`.
   void call(const standin::CallRequest &Request);
 
@@ -140,6 +149,7 @@
                const std::vector<std::string> &Arguments);
   std::vector<std::string> commonArguments(const Node &Value) const;
   Result<void> startAgent(Site &Value);
+  Result<void> addLink(Site &Value);
   Result<void> sprayOver();
   Result<void> publishVms();
   std::string tableCsv() const;
--- a/test/standin-test.cc
+++ b/test/standin-test.cc
@@ -8,6 +8,7 @@
 #include "standin/caller.h"
 #include "standin/fabric.h"
 #include "standin/host.h"
+#include "standin/link.h"
 #include "standin/platform.h"
 #include "standin/upstream.h"
 
@@ -303,6 +304,47 @@
   EXPECT_LT(OfClass5, Load.Count / 2);
 }
 
+// Guards against a partition that lets datagrams through, or against answers
+// that come from another address than the one that was asked.
+TEST(LinkTest, RelaysBothWaysUntilThePartition) {
+  Host Threads;
+  FarSide Far;
+  std::unique_ptr<UdpPort> Client;
+  std::unique_ptr<UdpPort> Server;
+  std::unique_ptr<Link> Between;
+  std::atomic<int> Answers = 0;
+  std::atomic<int> Strangers = 0;
+  Threads.run([&](io_context &Io) {
+    Server = must(
+        UdpPort::create(Io, AnyPort, [&](Endpoint From, PacketBytes Bytes) {
+          Server->send(From, Bytes);
+        }));
+    Between = must(Link::create(Io, AnyPort, Server->address(), Far));
+    Client = must(
+        UdpPort::create(Io, AnyPort, [&](Endpoint From, PacketBytes /*Bytes*/) {
+          ++(From == Between->address() ? Answers : Strangers);
+        }));
+  });
+  const auto Ask = [&] {
+    Threads.run([&](io_context &) {
+      const std::array<std::uint8_t, 1> Bytes = {1};
+      Client->send(Between->address(), Bytes);
+    });
+  };
+  Ask();
+  ASSERT_TRUE(pollUntil([&] { return Answers == 1; }));
+  Threads.run([&](io_context &) { Far.insert(Server->address()); });
+  Ask();
+  ASSERT_TRUE(pollUntil([&] {
+    return Threads.run([&](io_context &) { return Between->dropped() == 1; });
+  }));
+  Threads.run([&](io_context &) { Far.clear(); });
+  Ask();
+  EXPECT_TRUE(pollUntil([&] { return Answers == 2; }));
+  EXPECT_EQ(Strangers, 0);
+  Threads.stop();
+}
+
 /// The configuration service and its control paths.
 class PlatformTest : public testing::Test {
 protected:
