--- a/test/standin/segment.h
+++ b/test/standin/segment.h
@@ -16,8 +16,8 @@
 
 /// One TCP segment with the addresses of its IP packet.
 struct Segment {
-  Endpoint Source;
-  Endpoint Destination;
+  Endpoint Source{};
+  Endpoint Destination{};
   std::uint32_t Sequence = 0;
   std::uint32_t Acknowledgment = 0;
   bool Syn = false;
@@ -25,7 +25,7 @@
   bool Fin = false;
   bool Rst = false;
   bool Psh = false;
-  std::string Payload;
+  std::string Payload{};
 
   /// The sequence number that follows this segment.
   std::uint32_t next() const {
