Check exchanged rows without the CSV reader

Cause: the CSV reader allocates 48 MB for each value. Rows that processes exchange are canonical text, and under the address sanitizer the replication test did not end within 200 s.

Change: rows of the exchange are split at commas and must equal their canonical text. The simulation parses a published value once.

Tested: table and replication tests pass; with address and undefined-behaviour sanitizers the replication test passes in 58 s. With the same sanitizers the tests of table, routing, membership, platform, exchange and documents passed before this change.

Conclusion: the CSV reader is used only for values of the configuration service.

--- a/src/table.cc
+++ b/src/table.cc
@@ -440,38 +440,43 @@
   return Epoch;
 }
 
-std::string headerLine() {
-  return fmt::format("{}\n", fmt::join(ColumnNames, ","));
+/// Splits the canonical text of a row, which has no quotes.
+Result<CellLine> splitRow(const RowText &Row, std::size_t Number) {
+  CellLine Line;
+  Line.Number = Number;
+  std::string_view Rest = Row.Value;
+  for (std::size_t I = 0; I < ColumnCount; ++I) {
+    const std::size_t Comma = Rest.find(',');
+    if ((Comma == std::string_view::npos) != (I + 1 == ColumnCount)) {
+      return cellError(Number, fmt::format("1 to {}", ColumnCount), Row.Value,
+                       fmt::format("does not have {} cells", ColumnCount));
+    }
+    Line.Cells[I] = Rest.substr(0, Comma);
+    Rest.remove_prefix(std::min(Rest.size(), Line.Cells[I].size() + 1));
+  }
+  return Line;
 }
 
-/// Checks rows that another process sent; line numbers count from the first
-/// row after the header.
+/// Checks rows that another process sent. They are not read as CSV, whose
+/// reader needs a buffer of 48 MB.
 Result<std::vector<CheckedRow>> checkRowTexts(std::span<const RowText> Rows) {
-  std::string Csv = headerLine();
+  std::vector<CheckedRow> Checked;
+  Checked.reserve(Rows.size());
   for (const RowText &Row : Rows) {
-    if (Row.Value.find_first_of("\n\r") != std::string::npos) {
-      return makeError(ErrorKind::InvalidTable,
-                       fmt::format("row '{}': '{}' is more than one line",
-                                   printable(Row.Key), printable(Row.Value)));
+    const auto Line = splitRow(Row, Checked.size() + 1);
+    if (!Line) {
+      return tl::unexpected<Error>(Line.error());
     }
-    Csv += Row.Value;
-    Csv += '\n';
-  }
-  const auto Lines = readCells(Csv);
-  if (!Lines) {
-    return tl::unexpected<Error>(Lines.error());
-  }
-  auto Checked = checkRows(*Lines);
-  if (!Checked) {
-    return Checked;
-  }
-  for (std::size_t I = 0; I < Rows.size(); ++I) {
-    if (formatRow((*Checked)[I]) != Rows[I]) {
+    auto Each = checkRow(*Line);
+    if (!Each) {
+      return tl::unexpected<Error>(std::move(Each.error()));
+    }
+    if (formatRow(*Each) != Row) {
       return makeError(ErrorKind::InvalidTable,
                        fmt::format("row '{}': '{}' does not belong to this key",
-                                   printable(Rows[I].Key),
-                                   printable(Rows[I].Value)));
+                                   printable(Row.Key), printable(Row.Value)));
     }
+    Checked.push_back(std::move(*Each));
   }
   return Checked;
 }
--- a/test/replication-test.cc
+++ b/test/replication-test.cc
@@ -50,6 +50,7 @@
 struct PublishedValue {
   std::uint64_t Revision = 0;
   std::string Csv;
+  Result<PublishedTable> Parsed;
 };
 
 /// A message on its way.
@@ -78,7 +79,9 @@
       }
     }
     ++this->Revision;
-    this->add({this->Revision, csv(this->Epoch, Weights)});
+    std::string Csv = csv(this->Epoch, Weights);
+    auto Parsed = parsePublishedTable(Csv);
+    this->add({this->Revision, std::move(Csv), std::move(Parsed)});
   }
 
   /// Serves an earlier value again, so that later revisions repeat.
@@ -101,7 +104,9 @@
     if (Kind % 4 == 2) {
       Csv.resize(Kind % Csv.size());
     }
-    const auto Parsed = parsePublishedTable(Csv);
+    // A whole value was parsed when it was published.
+    const auto Parsed =
+        Csv == Value.Csv ? Value.Parsed : parsePublishedTable(Csv);
     Replica &Own = this->Replicas[Instance];
     if (!Parsed) {
       Own.reject(Parsed.error());
@@ -207,8 +212,9 @@
     }
     if (ServiceUp) {
       const PublishedValue &Value = this->Values[this->Serving];
-      const auto Made = Table::fromCsv(Value.Csv, Value.Revision);
-      Best = std::max(Best, std::pair(Made->version(), Made->digest()));
+      const DocumentVersion Version = {Value.Parsed->Epoch, Value.Revision};
+      Best = std::max(
+          Best, std::pair(Version, digestRows(Version, Value.Parsed->Rows)));
     }
     return Best;
   }
@@ -230,7 +236,7 @@
 
 private:
   void add(PublishedValue Value) {
-    const auto Parsed = parsePublishedTable(Value.Csv);
+    const auto &Parsed = Value.Parsed;
     ASSERT_TRUE(Parsed) << Parsed.error().Detail;
     const DocumentVersion Version = {Parsed->Epoch, Value.Revision};
     this->Published[{Version, digestRows(Version, Parsed->Rows)}] =
