Give the upstream's port of the agent a default that survives a restart

Cause: in a trial on loopback, an agent that was killed and started again got another port for its upstream; two of eight streamed answers never ended, since a caller that only receives sends nothing that makes a home adopt the flow. Change: `--upstream-listen` is by default the address of `--listen` with the port 10000 away from it, and no longer any free port. Tested: agent-process-test, 11 cases, passes.

--- a/src/agent-process.cc
+++ b/src/agent-process.cc
@@ -28,6 +28,9 @@
 /// its data duty has not ended the flows.
 constexpr Duration StopMargin = std::chrono::seconds(5);
 
+/// Between the ports of --listen and, by default, --upstream-listen.
+constexpr std::uint16_t UpstreamPortOffset = 10'000;
+
 constexpr std::string_view ProgramName = "mulberry-agent";
 
 constexpr unsigned StatusOk = 200;
@@ -65,8 +68,8 @@
      .Required = true},
     {.Name = "upstream-listen",
      .Type = SettingType::Endpoint,
-     .Help = "Where the upstream sends its packets (UDP); by default a free "
-             "port of the address of --listen"},
+     .Help = "Where the upstream sends its packets (UDP); by default the "
+             "address of --listen with the port 10000 away from it"},
     {.Name = "egress",
      .Type = SettingType::Endpoint,
      .Help = "Where packets for callers are sent (UDP)",
@@ -136,6 +139,19 @@
   }
 }
 
+/// The same after every start: an upstream that streams an answer sends on to
+/// the address that it knows, also while the agent restarts.
+Endpoint defaultUpstreamListen(Endpoint Listen) {
+  constexpr std::uint16_t MaxPort = 65535;
+  if (Listen.Port == 0) {
+    return Listen;
+  }
+  const bool FitsAbove = Listen.Port <= MaxPort - UpstreamPortOffset;
+  const int Port = FitsAbove ? Listen.Port + UpstreamPortOffset
+                             : Listen.Port - UpstreamPortOffset;
+  return {Listen.Address, static_cast<std::uint16_t>(Port)};
+}
+
 std::int64_t toMilliseconds(Duration Value) {
   return std::chrono::duration_cast<milliseconds>(Value).count();
 }
@@ -434,7 +450,7 @@
   Read.Data.Upstream = Parsed.endpoint("upstream");
   Read.Data.Egress = Parsed.endpoint("egress");
   Read.Data.UpstreamListen = Parsed.text("upstream-listen").empty()
-                                 ? Endpoint{Read.Data.Listen.Address, 0}
+                                 ? defaultUpstreamListen(Read.Data.Listen)
                                  : Parsed.endpoint("upstream-listen");
   Read.Data.Logic.Self = upstreamId(Read.Documents.Name);
   for (const std::string &Name : Read.Services) {
--- a/test/agent-process-test.cc
+++ b/test/agent-process-test.cc
@@ -60,6 +60,30 @@
                     SettingsRow{"--services=Orders", "--log-level=info", false},
                     SettingsRow{"--services=a", "--log-level=all", false}));
 
+struct PortRow {
+  const char *Listen;
+  std::uint16_t Expected;
+};
+
+class UpstreamPortTest : public testing::TestWithParam<PortRow> {};
+
+// Guards against a port that changes with a restart, so that an upstream that
+// streams an answer no longer reaches the agent.
+TEST_P(UpstreamPortTest, DefaultFollowsTheListenPort) {
+  auto Flags = flags("--services=orders", "--log-level=info");
+  Flags.push_back(GetParam().Listen);
+  const auto Read = readFlags(Flags);
+  ASSERT_TRUE(Read) << Read.error().Detail;
+  EXPECT_EQ(Read->Data.UpstreamListen.Port, GetParam().Expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ports, UpstreamPortTest,
+    testing::Values(PortRow{"--listen=127.0.0.1:17000", 27000},
+                    PortRow{"--listen=127.0.0.1:55535", 65535},
+                    PortRow{"--listen=127.0.0.1:55536", 45536},
+                    PortRow{"--upstream-listen=127.0.0.1:9", 9}));
+
 struct PathRow {
   const char *Target;
   unsigned Status;
