Hold back payload of an adopted flow until its upstream answers

Cause: an agent that started within the last 120 s delivered payload marked `adopt` to its upstream although nothing proved that the upstream has the flow. After an address moved between services, a late or repeated packet of a flow of the new service was located at a new agent of the old service, which answered Maybe, and its upstream got payload of another service (G2). Nothing ran, since that upstream's TCP answers with a reset.

Ruled out: a check of the agent's services against those that had the address (the old service did have it), and a wrong decision of the oracle (the flow was opened when every process had the new table).

Change: while the upstream of an adopted flow has not sent a segment, a packet with payload is replaced by an acknowledgment one below its sequence number, which TCP answers with an acknowledgment or a reset. The caller repeats the payload. An adoption without room for a record is now denied, because nothing could be proved without one. makeAcknowledgment replaces the challenge's own checksum code.

Tested: the new AgentTest fails without the rule, and so do both properties of the fleet test.

--- a/include/mulberryhoist/agent.h
+++ b/include/mulberryhoist/agent.h
@@ -284,6 +284,8 @@
   void onFlowPacket(const CallerPacket &Input, Instant Now, ActionList &Out);
   void deliver(FlowMap::iterator Found, const CallerPacket &Input, Instant Now,
                ActionList &Out);
+  void deliverUnproven(FlowRecord &Flow, const CallerPacket &Input, Instant Now,
+                       ActionList &Out);
   bool adopt(const CallerPacket &Input, std::optional<Endpoint> From,
              Instant Now, ActionList &Out);
   void relay(UpstreamId Owner, const CallerPacket &Input, bool Adopt,
--- a/include/mulberryhoist/flow.h
+++ b/include/mulberryhoist/flow.h
@@ -92,6 +92,12 @@
   /// is the home itself.
   std::optional<Endpoint> AdoptedFrom;
 
+  /// True for an adopted flow until its upstream has sent a segment: the
+  /// upstream may not know the flow, or even serve another service.
+  bool isUnproven() const {
+    return this->State == FlowState::Adopted && !this->UpstreamKnown;
+  }
+
   bool isHalfOpen() const {
     return this->State == FlowState::HalfOpen ||
            this->State == FlowState::Answered;
@@ -130,7 +136,7 @@
 ///
 /// A caller that knows the flow ignores it; one that has lost the flow answers
 /// with the reset that ends it, and its repeated opening then succeeds.
-ResetPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow);
+ControlPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow);
 
 } // namespace mulberryhoist
 
--- a/include/mulberryhoist/packet.h
+++ b/include/mulberryhoist/packet.h
@@ -1,6 +1,6 @@
 /// \file
-/// A checked view of an IPv4/TCP packet, and the reset segments that the system
-/// sends itself.
+/// A checked view of an IPv4/TCP packet, and the segments without data that the
+/// system sends itself.
 
 #ifndef MULBERRYHOIST_PACKET_H
 #define MULBERRYHOIST_PACKET_H
@@ -54,11 +54,14 @@
 /// `MalformedPacket`. Nothing is allocated on success.
 Result<PacketView> parsePacket(PacketBytes Bytes);
 
-/// The size of a packet with a reset segment, in bytes.
-inline constexpr std::size_t ResetPacketSize = 40;
+/// The size of a packet with a segment that carries no data, in bytes.
+inline constexpr std::size_t ControlPacketSize = 40;
+
+/// A packet with a segment that carries no data.
+using ControlPacket = std::array<std::uint8_t, ControlPacketSize>;
 
 /// A packet with a reset segment.
-using ResetPacket = std::array<std::uint8_t, ResetPacketSize>;
+using ResetPacket = ControlPacket;
 
 /// Builds the reset that answers a caller's packet, as RFC 9293 describes.
 ///
@@ -69,6 +72,11 @@
 ResetPacket makeReset(Endpoint Source, Endpoint Destination,
                       std::uint32_t Sequence);
 
+/// Builds a bare acknowledgment.
+ControlPacket makeAcknowledgment(Endpoint Source, Endpoint Destination,
+                                 std::uint32_t Sequence,
+                                 std::uint32_t Acknowledgment);
+
 /// True if sequence number A comes before B, modulo 2^32.
 constexpr bool sequenceBefore(std::uint32_t A, std::uint32_t B) {
   return static_cast<std::int32_t>(A - B) < 0;
--- a/src/agent-flow.cc
+++ b/src/agent-flow.cc
@@ -43,6 +43,10 @@
 void AgentLogic::deliver(FlowMap::iterator Found, const CallerPacket &Input,
                          Instant Now, ActionList &Out) {
   FlowRecord &Flow = Found->second;
+  if (Flow.isUnproven()) {
+    this->deliverUnproven(Flow, Input, Now, Out);
+    return;
+  }
   const RequestEvent Event = recordCallerPacket(Flow, Input.View, Now);
   if (Event == RequestEvent::Began) {
     this->setWorking(Flow, true, Now);
@@ -53,19 +57,40 @@
   }
 }
 
+void AgentLogic::deliverUnproven(FlowRecord &Flow, const CallerPacket &Input,
+                                 Instant Now, ActionList &Out) {
+  if (Input.View.Payload.empty()) {
+    recordCallerPacket(Flow, Input.View, Now);
+    Out.push_back(DeliverToUpstream{Input.Bytes});
+    return;
+  }
+  // The caller sends the payload again. A number below the expected one makes
+  // an upstream that knows the flow answer with an acknowledgment.
+  PacketView Seen = Input.View;
+  Seen.Payload = {};
+  Seen.Flags.Fin = false;
+  recordCallerPacket(Flow, Seen, Now);
+  const ControlPacket Question = makeAcknowledgment(
+      Seen.Source, Seen.Destination, Seen.Sequence - 1, Seen.Acknowledgment);
+  Out.push_back(DeliverToUpstream{
+      this->keep(std::vector(Question.begin(), Question.end()))});
+}
+
 bool AgentLogic::adopt(const CallerPacket &Input, std::optional<Endpoint> From,
                        Instant Now, ActionList &Out) {
   const FlowKey Key = Input.View.callerFlow();
   if (this->Flows.contains(Key)) {
     return false;
   }
-  Out.push_back(DeliverToUpstream{Input.Bytes});
-  // A reset needs no record. Without room for one, the flow goes on as long as
-  // packets reach this agent marked as `adopt`.
-  if (Input.View.Flags.Rst ||
-      this->Flows.size() >= this->Settings.Capacity.Flows) {
+  if (Input.View.Flags.Rst) {
+    // It needs no record.
+    Out.push_back(DeliverToUpstream{Input.Bytes});
     return true;
   }
+  if (this->Flows.size() >= this->Settings.Capacity.Flows) {
+    ++this->Counters.StoreFull;
+    return false;
+  }
   const Service *Listed =
       this->InForce ? this->InForce->findService(Input.View.Destination)
                     : nullptr;
@@ -76,9 +101,7 @@
   Flow.AdoptedFrom = From;
   this->Admitted.addConnection();
   ++this->Counters.Adopted;
-  if (recordCallerPacket(Flow, Input.View, Now) == RequestEvent::Began) {
-    this->setWorking(Flow, true, Now);
-  }
+  this->deliverUnproven(Flow, Input, Now, Out);
   return true;
 }
 
--- a/src/agent-opening.cc
+++ b/src/agent-opening.cc
@@ -83,7 +83,7 @@
   // Either a late copy of an older opening, or the caller lost this flow and
   // uses its port again; only the caller's TCP can tell.
   ++this->Counters.Challenges;
-  const ResetPacket Challenge = makeChallenge(Found->first, Flow);
+  const ControlPacket Challenge = makeChallenge(Found->first, Flow);
   Out.push_back(SendToCaller{
       this->keep(std::vector(Challenge.begin(), Challenge.end()))});
   return true;
--- a/src/flow.cc
+++ b/src/flow.cc
@@ -117,20 +117,6 @@
   return Value - Reference < Window || Reference - Value < Window;
 }
 
-/// The one's complement sum of big-endian 16-bit words.
-std::uint32_t sumWords(PacketBytes Bytes) {
-  std::uint32_t Sum = 0;
-  for (std::size_t I = 0; I + 1 < Bytes.size(); I += 2) {
-    Sum += (std::uint32_t{Bytes[I]} << 8U) | Bytes[I + 1];
-  }
-  return Sum;
-}
-
-void putWord(std::span<std::uint8_t> Out, std::uint32_t Value) {
-  Out[0] = static_cast<std::uint8_t>(Value >> 8U);
-  Out[1] = static_cast<std::uint8_t>(Value);
-}
-
 } // namespace
 
 FlowState nextFlowState(FlowState State, FlowEvent Event) {
@@ -292,25 +278,9 @@
   return EndsRequest ? RequestEvent::Ended : RequestEvent::None;
 }
 
-ResetPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow) {
-  constexpr std::size_t IpHeader = 20;
-  constexpr std::size_t TcpHeader = ResetPacketSize - IpHeader;
-  constexpr std::uint8_t AckFlag = 0x10;
-  constexpr std::uint32_t TcpProtocol = 6;
-  ResetPacket Packet = makeReset(Key.Service, Key.Caller, Flow.UpstreamNext);
-  const std::span<std::uint8_t> Tcp = std::span(Packet).subspan(IpHeader);
-  putWord(Tcp.subspan(8), Flow.CallerNext >> 16U);
-  putWord(Tcp.subspan(10), Flow.CallerNext);
-  Tcp[13] = AckFlag;
-  putWord(Tcp.subspan(14), 0xFFFF);
-  putWord(Tcp.subspan(16), 0);
-  std::uint32_t Sum = sumWords(std::span(Packet).subspan(12));
-  Sum += TcpProtocol + static_cast<std::uint32_t>(TcpHeader);
-  while ((Sum >> 16U) != 0) {
-    Sum = (Sum & 0xFFFFU) + (Sum >> 16U);
-  }
-  putWord(Tcp.subspan(16), ~Sum);
-  return Packet;
+ControlPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow) {
+  return makeAcknowledgment(Key.Service, Key.Caller, Flow.UpstreamNext,
+                            Flow.CallerNext);
 }
 
 } // namespace mulberryhoist
--- a/src/packet.cc
+++ b/src/packet.cc
@@ -86,13 +86,21 @@
   return Ip;
 }
 
-ResetPacket buildReset(Endpoint Source, Endpoint Destination,
-                       std::uint32_t Sequence, bool Acknowledges,
-                       std::uint32_t Acknowledgment) {
+/// The fields that differ between the segments that are built here.
+struct ControlFields {
+  bool Rst = false;
+  bool Ack = false;
+  std::uint32_t Sequence = 0;
+  std::uint32_t Acknowledgment = 0;
+  std::uint16_t Window = 0;
+};
+
+ControlPacket buildControl(Endpoint Source, Endpoint Destination,
+                           const ControlFields &Fields) {
   iphdr Ip = {};
   Ip.version = IPVERSION;
   Ip.ihl = sizeof(iphdr) / WordBytes;
-  Ip.tot_len = htons(ResetPacketSize);
+  Ip.tot_len = htons(ControlPacketSize);
   Ip.frag_off = htons(IP_DF);
   Ip.ttl = ResetTimeToLive;
   Ip.protocol = IPPROTO_TCP;
@@ -103,16 +111,17 @@
   tcphdr Tcp = {};
   Tcp.source = htons(Source.Port);
   Tcp.dest = htons(Destination.Port);
-  Tcp.seq = htonl(Sequence);
-  Tcp.ack_seq = htonl(Acknowledgment);
+  Tcp.seq = htonl(Fields.Sequence);
+  Tcp.ack_seq = htonl(Fields.Acknowledgment);
   Tcp.doff = sizeof(tcphdr) / WordBytes;
-  Tcp.rst = 1;
-  Tcp.ack = Acknowledges ? 1 : 0;
+  Tcp.rst = Fields.Rst ? 1 : 0;
+  Tcp.ack = Fields.Ack ? 1 : 0;
+  Tcp.window = htons(Fields.Window);
   Tcp.check =
       static_cast<std::uint16_t>(~foldSum(segmentSum(Ip, bytesOf(Tcp))));
 
-  static_assert(sizeof(Ip) + sizeof(Tcp) == ResetPacketSize);
-  ResetPacket Packet;
+  static_assert(sizeof(Ip) + sizeof(Tcp) == ControlPacketSize);
+  ControlPacket Packet;
   std::memcpy(Packet.data(), &Ip, sizeof(Ip));
   std::memcpy(Packet.data() + sizeof(Ip), &Tcp, sizeof(Tcp));
   return Packet;
@@ -153,13 +162,21 @@
   if (Packet.Flags.Ack) {
     return makeReset(Packet.Destination, Packet.Source, Packet.Acknowledgment);
   }
-  return buildReset(Packet.Destination, Packet.Source, 0, true,
-                    Packet.nextSequence());
+  return buildControl(Packet.Destination, Packet.Source,
+                      {true, true, 0, Packet.nextSequence(), 0});
 }
 
 ResetPacket makeReset(Endpoint Source, Endpoint Destination,
                       std::uint32_t Sequence) {
-  return buildReset(Source, Destination, Sequence, false, 0);
+  return buildControl(Source, Destination, {true, false, Sequence, 0, 0});
+}
+
+ControlPacket makeAcknowledgment(Endpoint Source, Endpoint Destination,
+                                 std::uint32_t Sequence,
+                                 std::uint32_t Acknowledgment) {
+  constexpr std::uint16_t LargestWindow = 0xFFFF;
+  return buildControl(Source, Destination,
+                      {false, true, Sequence, Acknowledgment, LargestWindow});
 }
 
 } // namespace mulberryhoist
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -415,6 +415,32 @@
                     AdoptRow{"unknown", {"R", 77}, 0, 1}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against payload that reaches an upstream which does not have the flow
+// and may serve another service (G2).
+TEST(AgentTest, AdoptedFlowGetsPayloadOnceItsUpstreamAnswered) {
+  Harness Test(seconds(1));
+  for (int I = 0; I < 2; ++I) {
+    Test.fromCaller({"AP", Isn + 1, 77, "x"}, true, true);
+    ASSERT_EQ(Test.count<DeliverToUpstream>(), 1U);
+    const auto Asked =
+        parsePacket(std::get<DeliverToUpstream>(Test.Out[0]).Packet);
+    ASSERT_TRUE(Asked);
+    EXPECT_TRUE(Asked->Payload.empty());
+    EXPECT_TRUE(Asked->Flags.Ack && !Asked->Flags.Rst);
+    EXPECT_EQ(Asked->Sequence, Isn);
+    EXPECT_EQ(Asked->Acknowledgment, 77U);
+    EXPECT_EQ(Asked->callerFlow(), Test.Key);
+  }
+  Test.fromUpstream({"A", 77, Isn + 1});
+  Test.fromCaller({"AP", Isn + 1, 77, "x"}, true, true);
+  ASSERT_EQ(Test.count<DeliverToUpstream>(), 1U);
+  const auto Given =
+      parsePacket(std::get<DeliverToUpstream>(Test.Out[0]).Packet);
+  ASSERT_TRUE(Given);
+  EXPECT_EQ(Given->Payload.size(), 1U);
+  EXPECT_EQ(Test.Agent.status(Test.Now).Busy, 1U);
+}
+
 // Guards against a second half-open copy that is found as the owner.
 TEST(AgentTest, OwnsOnlyWhatTheCallerAcknowledged) {
   Harness Test;
--- a/test/flow-test.cc
+++ b/test/flow-test.cc
@@ -90,7 +90,7 @@
   FlowRecord Flow;
   Flow.UpstreamNext = 0x12345678;
   Flow.CallerNext = 0x9ABCDEF0;
-  const ResetPacket Bytes = makeChallenge({Caller, Service}, Flow);
+  const ControlPacket Bytes = makeChallenge({Caller, Service}, Flow);
   const auto View = parsePacket(Bytes);
   ASSERT_TRUE(View);
   EXPECT_EQ(View->Sequence, Flow.UpstreamNext);
