Route old flows around a service whose candidates are all suspected

Cause: a balancer chose the home of every packet among the candidates of the service that has the address now. If the address had moved to a service whose only upstream stopped, all packets of older flows went to an agent that no longer ran, and the flows broke (G1).

Change: for a packet that is no opening, if the chosen home is suspected, a member of the locate group that is not suspected becomes the home and locates the owner. Openings are unchanged, and with everybody suspected the choice still fails open.

Tested: the new BalancerTest and the fleet test's property of planned changes fail without the rule.

--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -78,6 +78,25 @@
   });
 }
 
+/// Chooses the home for a packet of an established flow. If every candidate of
+/// the service is suspected, another member of the locate group can still find
+/// the owner: the address may have moved to a service that has failed.
+std::optional<UpstreamId> homeOfOld(const Table &InForce, const FlowKey &Key,
+                                    const Candidates &From,
+                                    std::span<const AgentHealth> Agents,
+                                    std::vector<Assignment> &GroupRows) {
+  const auto IsSuspected = [Agents](UpstreamId Id) {
+    return exclusionOf(Agents, Id, true) != Exclusion::None;
+  };
+  const auto Home = homeOf(From, Key, Agents);
+  if (From.OldFlowsOnly || (Home && !IsSuspected(*Home))) {
+    return Home;
+  }
+  collectGroup(InForce, Key.Service, GroupRows);
+  const auto Other = chooseHome(GroupRows, Key, IsSuspected);
+  return Other && !IsSuspected(*Other) ? Other : Home;
+}
+
 /// Written out because clang-tidy 14 reports the use of the defaulted operator.
 bool isOlder(const TableVersion &A, const TableVersion &B) {
   return std::tie(A.Epoch, A.Revision) < std::tie(B.Epoch, B.Revision);
@@ -175,7 +194,10 @@
     Out.push_back(ReportError{ErrorKind::UnknownAddress});
     return;
   }
-  const auto Home = homeOf(From, Key, this->Agents.agents());
+  const auto Home = Packet->isOpening()
+                        ? homeOf(From, Key, this->Agents.agents())
+                        : homeOfOld(*this->InForce, Key, From,
+                                    this->Agents.agents(), this->GroupRows);
   const Upstream *Target = Home ? this->InForce->findUpstream(*Home) : nullptr;
   if (Target == nullptr) {
     Out.push_back(ReportError{ErrorKind::UnknownAddress});
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -281,6 +281,37 @@
   EXPECT_EQ(Run.error(), ErrorKind::UnknownAddress);
 }
 
+// Guards against flows that break because their address moved to a service
+// whose only upstream then fails (G1).
+TEST(BalancerTest, OldFlowsGoAroundAFailedService) {
+  Driver Run(
+      sampleTable({row("photos", Photos, 0, 10), row("photos", Photos, 1, 10),
+                   row("templates", Templates, 2, 10)}));
+  auto Moved = parsePublishedTable(
+      "service,address,class,share,upstream,endpoint,zone,weight,slots,"
+      "connections\n" +
+      row("photos", {Loopback | 3U, 443}, 0, 10) + '\n' +
+      row("photos", {Loopback | 3U, 443}, 1, 10) + '\n' +
+      row("templates", Photos, 2, 10) + "\nend,3\n");
+  const std::vector<RowText> Removed = {
+      {"photos/u0", row("photos", Photos, 0, 10)},
+      {"photos/u1", row("photos", Photos, 1, 10)}};
+  auto Made = Table::create({0, 2}, Moved->Rows, Removed);
+  ASSERT_TRUE(Made) << Made.error().Detail;
+  Run.Logic.onTable(std::make_shared<const Table>(std::move(*Made)), Run.Now,
+                    Run.Out);
+  EXPECT_EQ(Run.homeFor(1), upstreamAt(2));
+  Run.Silent = {2};
+  Run.run(seconds(10));
+  ASSERT_TRUE(Run.Logic.suspicion().isSuspected(upstreamAt(2)));
+  const auto Home = Run.homeFor(1);
+  EXPECT_TRUE(Home == upstreamAt(0) || Home == upstreamAt(1));
+  // An opening still goes to the service itself.
+  const auto Opened = Run.forward(makePacket(1, Photos, Tins::TCP::SYN));
+  ASSERT_TRUE(Opened);
+  EXPECT_EQ(std::get<Forward>(Opened->Body).Home, upstreamAt(2));
+}
+
 // Guards against a table that reverts (G8).
 TEST(BalancerTest, OlderTableIsIgnored) {
   Driver Run(sampleTable(photoRows(EqualWeights), 5));
