Acknowledge in a challenge only what the upstream has acknowledged

Cause: the challenge that an agent sends for an opening of another incarnation acknowledged the highest sequence number seen from the caller. If an earlier segment was still late or lost, the caller took it for delivered, never sent it again, and the flow hung for good (G1). A late copy of the SYN of the flow that used the ports before is enough.

Ruled out: the caller and upstream models (the trace shows the agent's acknowledgment of bytes that the upstream asked for again).

Change: the flow record keeps what the upstream acknowledged and the challenge uses it. A reset with exactly this number ends the record too, because it answers such a challenge.

--- a/include/mulberryhoist/flow.h
+++ b/include/mulberryhoist/flow.h
@@ -71,6 +71,9 @@
   std::uint32_t CallerNext = 0;
   std::uint32_t CallerAcknowledged = 0;
   std::uint32_t UpstreamNext = 0;
+  /// What the upstream has acknowledged. Bytes before `CallerNext` may still be
+  /// missing there, so they must not be acknowledged in its name.
+  std::uint32_t UpstreamAcknowledged = 0;
   /// The upstream's initial sequence number, if the handshake was seen.
   std::uint32_t UpstreamInitial = 0;
   /// How far below `UpstreamNext` an acknowledgment may be, so that numbers
--- a/src/flow.cc
+++ b/src/flow.cc
@@ -151,6 +151,7 @@
   Flow.LastCaller = Now;
   Flow.LastPacket = Now;
   Flow.CallerNext = Opening.nextSequence();
+  Flow.UpstreamAcknowledged = Flow.CallerNext;
   Flow.CallerKnown = true;
   return Flow;
 }
@@ -196,7 +197,8 @@
   if (Packet.Flags.Rst) {
     // Only an exact reset is sure to end the flow at the upstream (RFC 5961);
     // to another one its TCP answers with a challenge.
-    if (!Flow.CallerKnown || Packet.Sequence == Flow.CallerNext) {
+    if (!Flow.CallerKnown || Packet.Sequence == Flow.CallerNext ||
+        Packet.Sequence == Flow.UpstreamAcknowledged) {
       advance(Flow, FlowEvent::Terminated);
     }
     return RequestEvent::None;
@@ -236,6 +238,11 @@
     advance(Flow, FlowEvent::Terminated);
     return RequestEvent::Ended;
   }
+  if (Packet.Flags.Ack &&
+      (!Flow.UpstreamKnown ||
+       sequenceBefore(Flow.UpstreamAcknowledged, Packet.Acknowledgment))) {
+    Flow.UpstreamAcknowledged = Packet.Acknowledgment;
+  }
   const std::uint32_t Next = Packet.nextSequence();
   if (Packet.Flags.Syn) {
     // Before the caller acknowledged one, the latest SYN-ACK counts: an
@@ -279,8 +286,10 @@
 }
 
 ControlPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow) {
+  const std::uint32_t Acknowledged =
+      Flow.isUnproven() ? Flow.CallerNext : Flow.UpstreamAcknowledged;
   return makeAcknowledgment(Key.Service, Key.Caller, Flow.UpstreamNext,
-                            Flow.CallerNext);
+                            Acknowledged);
 }
 
 } // namespace mulberryhoist
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -299,6 +299,26 @@
   EXPECT_EQ(Test.counters().Accepted, 2U);
 }
 
+// Guards against a challenge that acknowledges bytes which the upstream has not
+// got: the caller would never send them again (G1).
+TEST(AgentTest, ChallengeAcknowledgesOnlyWhatTheUpstreamDid) {
+  Harness Test;
+  Test.openTo(FlowState::Established);
+  // The bytes before these are late.
+  Test.fromCaller({"AP", Isn + 9, Up + 1, "later"});
+  Test.fromUpstream({"A", Up + 1, Isn + 1});
+  Test.fromCaller({"S", 9000});
+  ASSERT_EQ(Test.count<SendToCaller>(), 1U);
+  const auto Challenge =
+      parsePacket(std::get<SendToCaller>(Test.Out[0]).Packet);
+  ASSERT_TRUE(Challenge);
+  EXPECT_EQ(Challenge->Acknowledgment, Isn + 1);
+  // A caller that has lost the flow can end it with that number.
+  Test.fromCaller({"R", Isn + 1});
+  EXPECT_EQ(Test.count<DeliverToUpstream>(), 1U);
+  EXPECT_EQ(Test.Agent.status(Test.Now).Counters.FlowsEnded, 1U);
+}
+
 /// Begins to locate the owner of the flow and answers for both members.
 void locate(Harness &Test, OwnerAnswer First, OwnerAnswer Second) {
   Test.fromCaller({"A", Isn + 1, 77});
