--- a/test/fleet/fleet.cc
+++ b/test/fleet/fleet.cc
@@ -195,7 +195,7 @@
 }
 
 void Fleet::giveTable(BalancerProcess &To) {
-  if (!To.Alive || To.Paused) {
+  if (!To.Alive || To.Paused || To.KeepsTable) {
     return;
   }
   To.Revision = std::max(To.Revision, revisionOf(this->Published));
--- a/test/fleet/fleet.h
+++ b/test/fleet/fleet.h
@@ -67,6 +67,8 @@
   bool Alive = true;
   /// Gets packets of callers.
   bool InFabric = true;
+  /// Gets no further tables.
+  bool KeepsTable = false;
   bool Paused = false;
   std::deque<Letter> Inbox;
 };
