--- a/test/settings-page-test.cc
+++ b/test/settings-page-test.cc
@@ -1,10 +1,11 @@
 #include <array>
 #include <cstdio>
 #include <fstream>
-#include <gtest/gtest.h>
 #include <sstream>
 #include <string>
 
+#include <gtest/gtest.h>
+
 namespace mulberryhoist {
 namespace {
 
