Wait for the counter in the balancer process test

Cause: the data duty counts a packet after it sent the datagram, so the test could read the counter first; seen once on a busy machine (0 instead of 1). Change: the test polls for the same value within the usual bound. Conclusion: the expected value is unchanged.

--- a/test/balancer-process-test.cc
+++ b/test/balancer-process-test.cc
@@ -186,7 +186,10 @@
   EXPECT_EQ(this->getJson("/version")["table"]["revision"], 1);
   EXPECT_EQ(this->getJson("/table")["services"][0]["upstreams"][0]["name"],
             "u1");
-  EXPECT_EQ(this->getJson("/dump")["counters"]["forwarded_packets"], 1);
+  // The data duty counts a packet after it was sent.
+  EXPECT_TRUE(pollUntil([&] {
+    return this->getJson("/dump")["counters"]["forwarded_packets"] == 1;
+  }));
   const auto Why =
       this->getJson("/explain?caller=127.0.2.2:5000&service=127.0.1.1:443");
   EXPECT_EQ(Why["upstream"], "u1");
