--- a/test/path/fleet.cc
+++ b/test/path/fleet.cc
@@ -183,12 +183,15 @@
       Peers.push_back(formatEndpoint(Other->Control));
     }
   }
+  const auto Own = this->Options.PlatformOf.find(Value.Name);
+  const Endpoint Platform =
+      Own == this->Options.PlatformOf.end() ? this->PlatformAt : Own->second;
   return {"--name",     Value.Name,
           "--zone",     std::string(Zone),
           "--listen",   formatEndpoint(Value.Data),
           "--control",  formatEndpoint(Value.Control),
           "--admin",    formatEndpoint(Value.Admin),
-          "--platform", formatEndpoint(this->PlatformAt),
+          "--platform", formatEndpoint(Platform),
           "--peers",    fmt::format("{}", fmt::join(Peers, ","))};
 }
 
@@ -233,6 +236,14 @@
   return {};
 }
 
+Result<void> Fleet::forgetBalancer(const std::string &Name) {
+  if (this->Balancers.erase(Name) == 0) {
+    return makeError(ErrorKind::InvalidSetting, "no balancer " + Name);
+  }
+  const auto Sprayed = this->sprayOver();
+  return Sprayed ? this->publishVms() : Sprayed;
+}
+
 Result<void> Fleet::addSite(const std::string &Name) {
   auto Value = std::make_unique<Site>();
   Value->Agent = makeNode(Name);
--- a/test/path/fleet.h
+++ b/test/path/fleet.h
@@ -47,6 +47,9 @@
   std::vector<std::string> UpstreamSettings;
   std::vector<std::string> FabricSettings;
   std::vector<std::string> AgentSettings;
+  /// The configuration service of single processes by name, if not the common
+  /// one.
+  std::map<std::string, Endpoint> PlatformOf;
 };
 
 /// A process of the product and its addresses.
@@ -86,6 +89,9 @@
   /// does not end cleanly.
   Result<void> removeBalancer(const std::string &Name);
 
+  /// Stops spraying over a balancer that was killed and forgets it.
+  Result<void> forgetBalancer(const std::string &Name);
+
   /// Starts an agent and an upstream; `publish` brings them into the table.
   Result<void> addSite(const std::string &Name);
 
