Keep old flows alive across ports that are re-used and homes that stopped

- A search counted denials of the flow that used the ports before: nine seconds later one denied round reset the new flow.
Denials now start anew when the numbers of the packet are more than 1 MiB away from those of the last round.
- A home without live rows was never probed, so a removed upstream that stopped stayed the home of old flows for good.
It is now probed as soon as it becomes a home under the table in force.
- Members of the locate group without live rows were only tried if no member had any, even if all of those were suspected.
They are now tried then, too.

Ruled out by traces: loss of the owner's record, the models of caller and upstream.

Tested: locate-test 8, balancer-test 22, interleaving-test 35 passed; each fault has a focused test.

--- a/include/mulberryhoist/balancer.h
+++ b/include/mulberryhoist/balancer.h
@@ -99,6 +99,9 @@
 
 private:
   void updateAgents(Instant Now);
+  /// Probes an upstream without live rows from now on: it became the home of an
+  /// old flow, and may no longer run.
+  void watchRemoved(UpstreamId Id, Instant Now);
   AgentPresence presenceOf(Endpoint Agent) const;
 
   std::shared_ptr<const Table> InForce;
@@ -107,6 +110,8 @@
   bool HasVms = false;
   SuspicionLogic Agents;
   std::vector<DueProbe> Probes;
+  /// Upstreams without live rows that are homes under the table in force.
+  std::vector<UpstreamId> RemovedHomes;
   /// Candidates from a locate group; a member so that it is reused.
   std::vector<Assignment> GroupRows;
   std::uint64_t Dropped = 0;
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -21,14 +21,29 @@
                      [](const Assignment &Row) { return Row.Weight != 0; });
 }
 
+Exclusion exclusionOf(std::span<const AgentHealth> Agents, UpstreamId Id,
+                      bool OldFlowsOnly) {
+  const AgentHealth *Agent = findAgent(Agents, Id);
+  if (Agent == nullptr) {
+    return Exclusion::None;
+  }
+  // A draining agent can locate owners as well as any other.
+  if (OldFlowsOnly && !Agent->Suspected) {
+    return Exclusion::None;
+  }
+  return Agent->exclusion();
+}
+
 /// Writes the members of the locate group as rows of equal weight. Members
 /// without any live row are probably gone and serve only if there is no other.
 void collectGroup(const Table &InForce, Endpoint Address,
+                  std::span<const AgentHealth> Agents,
                   std::vector<Assignment> &Out) {
   const std::span<const UpstreamId> Group = InForce.locateGroup(Address);
   Out.clear();
   for (const UpstreamId Id : Group) {
-    if (!InForce.assignments(Id).empty()) {
+    if (!InForce.assignments(Id).empty() &&
+        exclusionOf(Agents, Id, true) == Exclusion::None) {
       Out.push_back({{}, Id, 1});
     }
   }
@@ -44,6 +59,7 @@
 /// service is closed or removed, the locate group. Flows that began earlier
 /// still need a home, which then locates their owner.
 Candidates findCandidates(const Table &InForce, Endpoint Address,
+                          std::span<const AgentHealth> Agents,
                           std::vector<Assignment> &GroupRows) {
   Candidates Found;
   Found.Owner = InForce.findService(Address);
@@ -51,26 +67,13 @@
     Found.Rows = InForce.assignments(Found.Owner->Id);
   }
   if (!takesNewWork(Found.Rows)) {
-    collectGroup(InForce, Address, GroupRows);
+    collectGroup(InForce, Address, Agents, GroupRows);
     Found.Rows = GroupRows;
     Found.OldFlowsOnly = true;
   }
   return Found;
 }
 
-Exclusion exclusionOf(std::span<const AgentHealth> Agents, UpstreamId Id,
-                      bool OldFlowsOnly) {
-  const AgentHealth *Agent = findAgent(Agents, Id);
-  if (Agent == nullptr) {
-    return Exclusion::None;
-  }
-  // A draining agent can locate owners as well as any other.
-  if (OldFlowsOnly && !Agent->Suspected) {
-    return Exclusion::None;
-  }
-  return Agent->exclusion();
-}
-
 std::optional<UpstreamId> homeOf(const Candidates &From, const FlowKey &Key,
                                  std::span<const AgentHealth> Agents) {
   return chooseHome(From.Rows, Key, [&](UpstreamId Id) {
@@ -92,7 +95,7 @@
   if (From.OldFlowsOnly || (Home && !IsSuspected(*Home))) {
     return Home;
   }
-  collectGroup(InForce, Key.Service, GroupRows);
+  collectGroup(InForce, Key.Service, Agents, GroupRows);
   const auto Other = chooseHome(GroupRows, Key, IsSuspected);
   return Other && !IsSuspected(*Other) ? Other : Home;
 }
@@ -102,6 +105,10 @@
   return std::tie(A.Epoch, A.Revision) < std::tie(B.Epoch, B.Revision);
 }
 
+bool contains(std::span<const UpstreamId> Ids, UpstreamId Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
 double orderOf(const CandidateExplanation &Candidate) {
   return Candidate.Score.value_or(std::numeric_limits<double>::infinity());
 }
@@ -112,7 +119,8 @@
                             std::span<const AgentHealth> Agents,
                             const FlowKey &Key) {
   std::vector<Assignment> GroupRows;
-  const Candidates From = findCandidates(InForce, Key.Service, GroupRows);
+  const Candidates From =
+      findCandidates(InForce, Key.Service, Agents, GroupRows);
   FlowExplanation Answer;
   if (From.Owner != nullptr) {
     Answer.Service = From.Owner->Id;
@@ -152,6 +160,7 @@
     return;
   }
   this->InForce = std::move(New);
+  this->RemovedHomes.clear();
   this->updateAgents(Now);
 }
 
@@ -188,8 +197,8 @@
     return;
   }
   const FlowKey Key = Packet->callerFlow();
-  const Candidates From =
-      findCandidates(*this->InForce, Key.Service, this->GroupRows);
+  const Candidates From = findCandidates(
+      *this->InForce, Key.Service, this->Agents.agents(), this->GroupRows);
   if (Packet->isOpening() && From.Owner == nullptr) {
     Out.push_back(ReportError{ErrorKind::UnknownAddress});
     return;
@@ -203,6 +212,9 @@
     Out.push_back(ReportError{ErrorKind::UnknownAddress});
     return;
   }
+  if (this->InForce->assignments(Target->Id).empty()) {
+    this->watchRemoved(Target->Id, Now);
+  }
   Forward Body;
   Body.Opening = Packet->isOpening();
   Body.Service = From.Owner == nullptr ? ServiceId{} : From.Owner->Id;
@@ -258,9 +270,21 @@
       Targets.push_back({Each.Id, Each.Agent, this->presenceOf(Each.Agent)});
     }
   }
+  for (const UpstreamId Id : this->RemovedHomes) {
+    if (const Upstream *Each = this->InForce->findUpstream(Id)) {
+      Targets.push_back({Id, Each->Agent, this->presenceOf(Each->Agent)});
+    }
+  }
   this->Agents.setAgents(Targets, Now);
 }
 
+void BalancerLogic::watchRemoved(UpstreamId Id, Instant Now) {
+  if (!contains(this->RemovedHomes, Id)) {
+    this->RemovedHomes.push_back(Id);
+    this->updateAgents(Now);
+  }
+}
+
 AgentPresence BalancerLogic::presenceOf(Endpoint Agent) const {
   if (!this->HasVms) {
     return AgentPresence::Unknown;
--- a/src/locate.cc
+++ b/src/locate.cc
@@ -3,10 +3,31 @@
 #include <algorithm>
 
 namespace mulberryhoist {
+namespace {
+
+/// Packets whose numbers are further apart may belong to different flows that
+/// used the same ports. A flow taken for two is only reset later.
+constexpr std::uint32_t SameFlowWindow = 1U << 20U;
+
+bool isNear(std::uint32_t A, std::uint32_t B) {
+  return A - B < SameFlowWindow || B - A < SameFlowWindow;
+}
+
+bool isSameFlow(PacketNumbers A, PacketNumbers B) {
+  const bool OneHasNone = A.Acknowledgment == 0 || B.Acknowledgment == 0;
+  return isNear(A.Sequence, B.Sequence) &&
+         (OneHasNone || isNear(A.Acknowledgment, B.Acknowledgment));
+}
+
+} // namespace
 
 void LocateSearch::beginRound(PacketNumbers Numbers,
                               std::span<const UpstreamId> Members,
                               bool SelfMaybe, bool Complete, Instant Now) {
+  // Members denied the earlier flow, not this one.
+  if (!isSameFlow(this->Numbers, Numbers)) {
+    this->FirstDenied.reset();
+  }
   this->Numbers = Numbers;
   this->Complete = Complete;
   this->Members.clear();
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -281,6 +281,44 @@
   EXPECT_EQ(Run.error(), ErrorKind::UnknownAddress);
 }
 
+// Guards against flows that break because their home was removed from the table
+// and then stopped (G1).
+TEST(BalancerTest, OldFlowsGoAroundARemovedUpstreamThatStopped) {
+  const auto InForce = Table::create(
+      {0, 2},
+      std::vector<RowText>{
+          {"templates/u2", row("templates", Templates, 2, 10)}},
+      std::vector<RowText>{{"photos/u0", row("photos", Photos, 0, 10)},
+                           {"photos/u1", row("photos", Photos, 1, 10)}});
+  ASSERT_TRUE(InForce.has_value()) << InForce.error().Detail;
+  Driver Run(std::make_shared<const Table>(*InForce));
+  Run.Silent = {0};
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    Run.homeFor(Caller);
+  }
+  Run.run(seconds(6));
+  for (std::uint32_t Caller = 0; Caller < Flows; ++Caller) {
+    EXPECT_EQ(Run.homeFor(Caller), upstreamAt(1));
+  }
+}
+
+// Guards against flows that break because the last upstream that the table
+// still lists has stopped (G1): a removed one may still run.
+TEST(BalancerTest, OldFlowsReachARemovedUpstreamIfTheListedOneStopped) {
+  const auto InForce = Table::create(
+      {0, 2},
+      std::vector<RowText>{
+          {"photos/u0", row("photos", Photos, 0, 10)},
+          {"templates/u2", row("templates", Templates, 2, 10)}},
+      std::vector<RowText>{{"photos/u1", row("photos", Photos, 1, 10)}});
+  ASSERT_TRUE(InForce.has_value()) << InForce.error().Detail;
+  Driver Run(std::make_shared<const Table>(*InForce));
+  EXPECT_EQ(Run.homeFor(1), upstreamAt(0));
+  Run.Silent = {0};
+  Run.run(seconds(6));
+  EXPECT_EQ(Run.homeFor(1), upstreamAt(1));
+}
+
 // Guards against flows that break because their address moved to a service
 // whose only upstream then fails (G1).
 TEST(BalancerTest, OldFlowsGoAroundAFailedService) {
--- a/test/locate-test.cc
+++ b/test/locate-test.cc
@@ -65,5 +65,39 @@
   EXPECT_EQ(Test.step(Start + LocateTimeout), LocateStep::GiveUp);
 }
 
+struct DenialRow {
+  const char *Name;
+  PacketNumbers Later;
+  LocateStep Expected;
+};
+
+class DenialTest : public testing::TestWithParam<DenialRow> {};
+
+// Guards against a reset of a new flow because the flow that used its ports
+// before was denied long enough (G1).
+TEST_P(DenialTest, CountsForOneFlowOnly) {
+  LocateSearch Test(seconds(9));
+  Instant Now = Start;
+  for (const PacketNumbers Sent : {Numbers, GetParam().Later}) {
+    ASSERT_TRUE(Test.isIdle(Now));
+    Test.beginRound(Sent, Members, false, true, Now);
+    reply(Test, 1, OwnerAnswer::No, Sent.Acknowledgment);
+    reply(Test, 2, OwnerAnswer::No, Sent.Acknowledgment);
+    EXPECT_EQ(Test.step(Now),
+              Now == Start ? LocateStep::GiveUp : GetParam().Expected);
+    Now += seconds(9);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Later, DenialTest,
+    testing::Values(
+        DenialRow{"same", Numbers, LocateStep::Gone},
+        DenialRow{"further", {5000, 9000}, LocateStep::Gone},
+        DenialRow{"other_sequence", {0x40000000, 200}, LocateStep::GiveUp},
+        DenialRow{
+            "other_acknowledgment", {100, 0x40000000}, LocateStep::GiveUp}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace mulberryhoist
