--- a/bench/relay.cc
+++ b/bench/relay.cc
@@ -79,8 +79,11 @@
     for (Process &Each : this->Processes) {
       Each.Bytes = 0;
       Each.ReadBytes = 0;
+      Each.CutOff = Each.CutOff || (this->Spec.AllCutOffLater && Each.Reader);
     }
     this->Calls = 0;
+    this->ReaderCalls = 0;
+    this->CallsBySecond.clear();
     RelayResult Result;
     Result.Processes = this->Processes.size();
     for (unsigned I = 0; I < this->Spec.Changes; ++I) {
@@ -103,6 +106,8 @@
     Result.ReadBytesPerSecond = ReadSum / static_cast<double>(Result.Processes);
     Result.MeanSlowestSeconds /= this->Spec.Changes;
     Result.CallsPerSecond = static_cast<double>(this->Calls) / Passed.count();
+    Result.ReaderCallsPerSecond =
+        static_cast<double>(this->ReaderCalls) / Passed.count();
     for (const auto &[Second, Count] : this->CallsBySecond) {
       Result.PeakCallsPerSecond =
           std::max(Result.PeakCallsPerSecond, static_cast<double>(Count));
@@ -233,6 +238,7 @@
       Own.Call = PendingCall{*Request, this->Now};
       Own.ReadBytes += CallBytes;
       ++this->Calls;
+      this->ReaderCalls += Own.Reader ? 1 : 0;
       const auto Second = this->Now.time_since_epoch() / seconds(1);
       ++this->CallsBySecond[Second];
     }
@@ -297,6 +303,7 @@
   PublishedTable Value;
   std::uint64_t Revision = 0;
   std::uint64_t Calls = 0;
+  std::uint64_t ReaderCalls = 0;
   std::map<std::int64_t, std::uint64_t> CallsBySecond;
 };
 
--- a/bench/relay.h
+++ b/bench/relay.h
@@ -29,6 +29,8 @@
   Duration ChangePeriod = std::chrono::milliseconds(15'430);
   /// Every second reader has no answer from the configuration service.
   bool HalfCutOff = true;
+  /// After the warm-up every reader loses the configuration service at once.
+  bool AllCutOffLater = false;
   std::uint64_t Seed = 1;
 };
 
@@ -46,6 +48,9 @@
   double ReadBytesPerSecond = 0;
   double BusiestBytesPerSecond = 0;
   double CallsPerSecond = 0;
+  /// The part of them that readers make.
+  double ReaderCallsPerSecond = 0;
+  /// The largest number of calls in one second after the warm-up.
   double PeakCallsPerSecond = 0;
 };
 
