--- a/include/mulberryhoist/flow.h
+++ b/include/mulberryhoist/flow.h
@@ -71,6 +71,9 @@
   std::uint32_t CallerNext = 0;
   std::uint32_t CallerAcknowledged = 0;
   std::uint32_t UpstreamNext = 0;
+  /// What the upstream has acknowledged. Bytes before `CallerNext` may still be
+  /// missing there, so they must not be acknowledged in its name.
+  std::uint32_t UpstreamAcknowledged = 0;
   /// The upstream's initial sequence number, if the handshake was seen.
   std::uint32_t UpstreamInitial = 0;
   /// How far below `UpstreamNext` an acknowledgment may be, so that numbers
@@ -92,6 +95,12 @@
   /// is the home itself.
   std::optional<Endpoint> AdoptedFrom;
 
+  /// True for an adopted flow until its upstream has sent a segment: the
+  /// upstream may not know the flow, or even serve another service.
+  bool isUnproven() const {
+    return this->State == FlowState::Adopted && !this->UpstreamKnown;
+  }
+
   bool isHalfOpen() const {
     return this->State == FlowState::HalfOpen ||
            this->State == FlowState::Answered;
@@ -130,7 +139,7 @@
 ///
 /// A caller that knows the flow ignores it; one that has lost the flow answers
 /// with the reset that ends it, and its repeated opening then succeeds.
-ResetPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow);
+ControlPacket makeChallenge(const FlowKey &Key, const FlowRecord &Flow);
 
 } // namespace mulberryhoist
 
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -299,6 +299,26 @@
   EXPECT_EQ(Test.counters().Accepted, 2U);
 }
 
+// Guards against a challenge that acknowledges bytes which the upstream has not
+// got: the caller would never send them again (G1).
+TEST(AgentTest, ChallengeAcknowledgesOnlyWhatTheUpstreamDid) {
+  Harness Test;
+  Test.openTo(FlowState::Established);
+  // The bytes before these are late.
+  Test.fromCaller({"AP", Isn + 9, Up + 1, "later"});
+  Test.fromUpstream({"A", Up + 1, Isn + 1});
+  Test.fromCaller({"S", 9000});
+  ASSERT_EQ(Test.count<SendToCaller>(), 1U);
+  const auto Challenge =
+      parsePacket(std::get<SendToCaller>(Test.Out[0]).Packet);
+  ASSERT_TRUE(Challenge);
+  EXPECT_EQ(Challenge->Acknowledgment, Isn + 1);
+  // A caller that has lost the flow can end it with that number.
+  Test.fromCaller({"R", Isn + 1});
+  EXPECT_EQ(Test.count<DeliverToUpstream>(), 1U);
+  EXPECT_EQ(Test.Agent.status(Test.Now).Counters.FlowsEnded, 1U);
+}
+
 /// Begins to locate the owner of the flow and answers for both members.
 void locate(Harness &Test, OwnerAnswer First, OwnerAnswer Second) {
   Test.fromCaller({"A", Isn + 1, 77});
@@ -415,6 +435,32 @@
                     AdoptRow{"unknown", {"R", 77}, 0, 1}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against payload that reaches an upstream which does not have the flow
+// and may serve another service (G2).
+TEST(AgentTest, AdoptedFlowGetsPayloadOnceItsUpstreamAnswered) {
+  Harness Test(seconds(1));
+  for (int I = 0; I < 2; ++I) {
+    Test.fromCaller({"AP", Isn + 1, 77, "x"}, true, true);
+    ASSERT_EQ(Test.count<DeliverToUpstream>(), 1U);
+    const auto Asked =
+        parsePacket(std::get<DeliverToUpstream>(Test.Out[0]).Packet);
+    ASSERT_TRUE(Asked);
+    EXPECT_TRUE(Asked->Payload.empty());
+    EXPECT_TRUE(Asked->Flags.Ack && !Asked->Flags.Rst);
+    EXPECT_EQ(Asked->Sequence, Isn);
+    EXPECT_EQ(Asked->Acknowledgment, 77U);
+    EXPECT_EQ(Asked->callerFlow(), Test.Key);
+  }
+  Test.fromUpstream({"A", 77, Isn + 1});
+  Test.fromCaller({"AP", Isn + 1, 77, "x"}, true, true);
+  ASSERT_EQ(Test.count<DeliverToUpstream>(), 1U);
+  const auto Given =
+      parsePacket(std::get<DeliverToUpstream>(Test.Out[0]).Packet);
+  ASSERT_TRUE(Given);
+  EXPECT_EQ(Given->Payload.size(), 1U);
+  EXPECT_EQ(Test.Agent.status(Test.Now).Busy, 1U);
+}
+
 // Guards against a second half-open copy that is found as the owner.
 TEST(AgentTest, OwnsOnlyWhatTheCallerAcknowledged) {
   Harness Test;
--- a/test/path/fleet.h
+++ b/test/path/fleet.h
@@ -35,6 +35,8 @@
 
 /// Which processes to begin with.
 struct FleetOptions {
+  /// Put a relay in front of each agent, so that `partition` works.
+  bool Links = false;
   /// Directory of the built programs.
   std::filesystem::path Programs;
   std::size_t Balancers = 2;
@@ -45,12 +47,17 @@
   std::vector<std::string> UpstreamSettings;
   std::vector<std::string> FabricSettings;
   std::vector<std::string> AgentSettings;
+  /// The configuration service of single processes by name, if not the common
+  /// one.
+  std::map<std::string, Endpoint> PlatformOf;
 };
 
 /// A process of the product and its addresses.
 struct Node {
   std::string Name;
   Endpoint Data;
+  /// The address in table and VM list: `Data` or that of the relay before it.
+  Endpoint Published;
   Endpoint Control;
   Endpoint Admin;
   std::string State = "live";
@@ -82,6 +89,9 @@
   /// does not end cleanly.
   Result<void> removeBalancer(const std::string &Name);
 
+  /// Stops spraying over a balancer that was killed and forgets it.
+  Result<void> forgetBalancer(const std::string &Name);
+
   /// Starts an agent and an upstream; `publish` brings them into the table.
   Result<void> addSite(const std::string &Name);
 
@@ -111,6 +121,11 @@
   Result<void> cut(Endpoint Address);
   Result<void> heal();
 
+  /// Separates the named balancers and agents from all others, for datagrams
+  /// between processes of the product; no names end the partition. The document
+  /// exchange over TCP is not cut.
+  void partition(const std::vector<std::string> &Names);
+
   /// Sends a request from the fleet's own caller; poll `results`.
   void call(const standin::CallRequest &Request);
 
@@ -140,6 +155,7 @@
                const std::vector<std::string> &Arguments);
   std::vector<std::string> commonArguments(const Node &Value) const;
   Result<void> startAgent(Site &Value);
+  Result<void> addLink(Site &Value);
   Result<void> sprayOver();
   Result<void> publishVms();
   std::string tableCsv() const;
