Share the common parts of balancer and agent process

Cause: both process files repeated settings, JSON of version and digest, the answers of /version and /table, document status, problems of duties and documents, the limit of log lines, the wait for signals and main; the metrics of the document exchange were written twice.

ErrorReport of the agent uses ProblemLimiter. No test is changed.

One visible difference: the agent's dump named the age of the last confirmed read confirmed_ms_ago; it is confirmed_age_ms as in the balancer's, with the unit at the end as docs/admin-api.md wants.

Conclusion: each process file holds what only that process does.

--- a/include/mulberryhoist/agent-process.h
+++ b/include/mulberryhoist/agent-process.h
@@ -11,23 +11,16 @@
 #include <string>
 #include <vector>
 
-#include "mulberryhoist/admin.h"
 #include "mulberryhoist/agent-data.h"
 #include "mulberryhoist/agent-metrics.h"
-#include "mulberryhoist/documents.h"
-#include "mulberryhoist/log.h"
-#include "mulberryhoist/settings.h"
-#include "mulberryhoist/supervisor.h"
+#include "mulberryhoist/process.h"
 
 namespace mulberryhoist {
 
 /// The settings of an agent.
-struct AgentProcessSettings {
-  DocumentSettings Documents;
+struct AgentProcessSettings : ProcessSettings {
   AgentDataSettings Data;
   std::vector<std::string> Services;
-  Endpoint Admin;
-  LogLevel Lowest = LogLevel::Info;
 };
 
 /// The flags and environment variables of an agent.
@@ -45,6 +38,8 @@
 /// A whole agent.
 class AgentProcess {
 public:
+  using SettingsType = AgentProcessSettings;
+
   /// Opens all sockets, so that a wrong address is reported at start.
   static Result<std::unique_ptr<AgentProcess>>
   create(AgentProcessSettings Settings);
@@ -68,14 +63,12 @@
   Result<void> reportUntil(const std::stop_token &Stop);
   StopReport drain();
   std::string dump() const;
-  void logDump() const;
+  ProcessIdentity identity() const;
   std::vector<DutyStatus> dutyStatus() const;
   /// One sentence for each thing that is not as it should be.
   std::vector<std::string> problems() const;
 
   AdminAnswer answerHealth() const;
-  AdminAnswer answerVersion() const;
-  AdminAnswer answerTable() const;
   AdminAnswer answerExplain(const AdminQuery &Query);
   AdminAnswer answerDrain() const;
 
--- a/include/mulberryhoist/balancer-data.h
+++ b/include/mulberryhoist/balancer-data.h
@@ -9,14 +9,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
 #include <vector>
 
 #include "mulberryhoist/admin.h"
 #include "mulberryhoist/balancer.h"
 #include "mulberryhoist/datagram.h"
+#include "mulberryhoist/metrics.h"
 #include "mulberryhoist/ring.h"
 #include "mulberryhoist/supervisor.h"
 #include "mulberryhoist/timer.h"
@@ -36,15 +34,8 @@
   prometheus::Counter &DroppedOpenings;
   prometheus::Counter &Pauses;
   prometheus::Counter &ShedProblems;
-  prometheus::Counter &PlatformCalls;
-  prometheus::Counter &OlderTables;
-  prometheus::Counter &InvalidTables;
-  prometheus::Counter &ControlBytesSent;
-  prometheus::Counter &ControlBytesReceived;
   prometheus::Gauge &SuspectedAgents;
-  prometheus::Gauge &TableEpoch;
-  prometheus::Gauge &TableRevision;
-  prometheus::Gauge &TableAge;
+  DocumentMetrics Documents;
 };
 
 /// Where the data duty gets the documents; called from its thread each turn.
--- a/include/mulberryhoist/balancer-process.h
+++ b/include/mulberryhoist/balancer-process.h
@@ -4,7 +4,6 @@
 #ifndef MULBERRYHOIST_BALANCER_PROCESS_H
 #define MULBERRYHOIST_BALANCER_PROCESS_H
 
-#include <array>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -13,21 +12,14 @@
 #include <string>
 #include <vector>
 
-#include "mulberryhoist/admin.h"
 #include "mulberryhoist/balancer-data.h"
-#include "mulberryhoist/documents.h"
-#include "mulberryhoist/log.h"
-#include "mulberryhoist/settings.h"
-#include "mulberryhoist/supervisor.h"
+#include "mulberryhoist/process.h"
 
 namespace mulberryhoist {
 
 /// The settings of a balancer.
-struct BalancerSettings {
-  DocumentSettings Documents;
+struct BalancerSettings : ProcessSettings {
   Endpoint Listen;
-  Endpoint Admin;
-  LogLevel Lowest = LogLevel::Info;
   Duration StopDeadline = std::chrono::seconds(30);
 };
 
@@ -50,25 +42,11 @@
 std::optional<StopReason> stopReason(Instant StopAt, Instant LastPacket,
                                      Duration Deadline, Instant Now);
 
-/// Limits the log lines about input errors to one of a kind in 10 s.
-class ProblemLimiter {
-public:
-  /// Returns how many errors of this kind to report in one line now, 0 for no
-  /// line.
-  std::uint64_t add(ErrorKind Kind, Instant Now);
-
-private:
-  struct Entry {
-    std::optional<Instant> LoggedAt;
-    std::uint64_t Waiting = 0;
-  };
-
-  std::array<Entry, ErrorKindCount> Entries;
-};
-
 /// A whole balancer.
 class BalancerProcess {
 public:
+  using SettingsType = BalancerSettings;
+
   /// Opens all sockets, so that a wrong address is reported at start.
   static Result<std::unique_ptr<BalancerProcess>>
   create(BalancerSettings Settings);
@@ -91,17 +69,14 @@
   void handlePaths();
   Result<void> reportUntil(const std::stop_token &Stop);
   void reportProblems(ProblemLimiter &Limiter);
-  void updateMetrics();
   StopReason waitUntilQuiet();
   std::string dump() const;
-  void logDump() const;
+  ProcessIdentity identity() const;
   std::vector<DutyStatus> dutyStatus() const;
   /// One sentence for each thing that is not as it should be.
   std::vector<std::string> problems() const;
 
   AdminAnswer answerHealth() const;
-  AdminAnswer answerVersion() const;
-  AdminAnswer answerTable() const;
   AdminAnswer answerExplain(const AdminQuery &Query) const;
 
   BalancerSettings Settings;
--- a/src/agent-metrics.cc
+++ b/src/agent-metrics.cc
@@ -1,11 +1,10 @@
 #include "mulberryhoist/agent-metrics.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
 #include <string>
 #include <vector>
 
 #include "mulberryhoist/error.h"
+#include "mulberryhoist/metrics.h"
 
 namespace mulberryhoist {
 namespace {
@@ -79,36 +78,6 @@
      [](const AgentStatus &Status) { return Status.Draining ? 1.0 : 0.0; }},
 };
 
-prometheus::Counter &makeCounter(prometheus::Registry &Metrics,
-                                 const std::string &Name,
-                                 const std::string &Help,
-                                 const prometheus::Labels &Labels = {}) {
-  return prometheus::BuildCounter()
-      .Name("mulberry_" + Name)
-      .Help(Help)
-      .Register(Metrics)
-      .Add(Labels);
-}
-
-prometheus::Gauge &makeGauge(prometheus::Registry &Metrics,
-                             const std::string &Name, const std::string &Help,
-                             const prometheus::Labels &Labels = {}) {
-  return prometheus::BuildGauge()
-      .Name("mulberry_" + Name)
-      .Help(Help)
-      .Register(Metrics)
-      .Add(Labels);
-}
-
-/// Raises a counter to a total that is counted elsewhere; after a restart of
-/// the duty that counts, the total may be smaller.
-void raiseTo(prometheus::Counter &Counter, std::uint64_t Total) {
-  const double Missing = static_cast<double>(Total) - Counter.Value();
-  if (Missing > 0) {
-    Counter.Increment(Missing);
-  }
-}
-
 } // namespace
 
 struct AgentMetrics::State {
@@ -121,24 +90,7 @@
                         "Bytes of messages without a packet received")),
         Pauses(makeCounter(Metrics, "agent_pauses_total",
                            "Pauses of the process longer than 500 ms")),
-        PlatformCalls(makeCounter(Metrics, "platform_calls_total",
-                                  "Calls to the configuration service")),
-        OlderTables(makeCounter(Metrics, "older_tables_total",
-                                "Tables ignored because they were older")),
-        InvalidTables(makeCounter(Metrics, "invalid_tables_total",
-                                  "Tables rejected by the checks")),
-        ControlBytesSent(makeCounter(Metrics, "control_sent_bytes_total",
-                                     "Bytes of the document exchange sent")),
-        ControlBytesReceived(
-            makeCounter(Metrics, "control_received_bytes_total",
-                        "Bytes of the document exchange received")),
-        TableEpoch(
-            makeGauge(Metrics, "table_epoch", "Epoch of the table in force")),
-        TableRevision(makeGauge(Metrics, "table_revision",
-                                "Revision of the table in force")),
-        TableAge(makeGauge(Metrics, "table_age_seconds",
-                           "Time since the table in force was confirmed by a "
-                           "read")) {
+        Documents(Metrics) {
     for (const LogicCounter &Each : LogicCounters) {
       const prometheus::Labels Labels =
           Each.Outcome == nullptr
@@ -176,14 +128,7 @@
   prometheus::Counter &MessageBytesSent;
   prometheus::Counter &MessageBytesReceived;
   prometheus::Counter &Pauses;
-  prometheus::Counter &PlatformCalls;
-  prometheus::Counter &OlderTables;
-  prometheus::Counter &InvalidTables;
-  prometheus::Counter &ControlBytesSent;
-  prometheus::Counter &ControlBytesReceived;
-  prometheus::Gauge &TableEpoch;
-  prometheus::Gauge &TableRevision;
-  prometheus::Gauge &TableAge;
+  DocumentMetrics Documents;
 };
 
 AgentMetrics::AgentMetrics(prometheus::Registry &Metrics)
@@ -212,18 +157,7 @@
   raiseTo(Shown.MessageBytesSent, Counters.MessageBytesSent);
   raiseTo(Shown.MessageBytesReceived, Counters.MessageBytesReceived);
   raiseTo(Shown.Pauses, Counters.Pauses);
-  raiseTo(Shown.PlatformCalls, Documents.PlatformCalls);
-  raiseTo(Shown.OlderTables, Documents.OlderIgnored);
-  raiseTo(Shown.InvalidTables, Documents.InvalidRejected);
-  raiseTo(Shown.ControlBytesSent, Documents.BytesSent);
-  raiseTo(Shown.ControlBytesReceived, Documents.BytesReceived);
-  if (View.InForce != nullptr) {
-    const TableVersion Version = View.InForce->version();
-    Shown.TableEpoch.Set(Version.Epoch);
-    Shown.TableRevision.Set(static_cast<double>(Version.Revision));
-  }
-  Shown.TableAge.Set(
-      std::chrono::duration<double>(Documents.SinceConfirmed).count());
+  Shown.Documents.update(Documents, View.InForce.get());
 }
 
 } // namespace mulberryhoist
--- a/src/agent-process.cc
+++ b/src/agent-process.cc
@@ -7,20 +7,15 @@
 #include <thread>
 
 #include "mulberryhoist/routing.h"
-#include "mulberryhoist/signals.h"
 
 namespace mulberryhoist {
 namespace {
 
-using Json = nlohmann::ordered_json;
 using std::chrono::milliseconds;
 
 /// How often the report duty takes over numbers.
 constexpr Duration ReportPeriod = milliseconds(500);
 
-/// The shortest time between two log lines about one kind of error.
-constexpr Duration LogPeriod = std::chrono::seconds(10);
-
 /// How often a stopping agent looks whether it may exit.
 constexpr Duration StopCheckPeriod = milliseconds(50);
 
@@ -33,10 +28,6 @@
 
 constexpr std::string_view ProgramName = "mulberry-agent";
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnavailable = 503;
-
 constexpr SettingSpec Specs[] = {
     {.Name = "name",
      .Type = SettingType::Name,
@@ -46,22 +37,13 @@
      .Type = SettingType::Text,
      .Help = "Names of the services that the upstream may serve, with commas",
      .Required = true},
-    {.Name = "zone",
-     .Type = SettingType::Name,
-     .Help = "Availability zone of this VM",
-     .Required = true},
+    ZoneSpec,
     {.Name = "listen",
      .Type = SettingType::Endpoint,
      .Help = "Where balancers and agents send datagrams (UDP)",
      .Required = true},
-    {.Name = "control",
-     .Type = SettingType::Endpoint,
-     .Help = "Where neighbours connect for the document exchange",
-     .Required = true},
-    {.Name = "admin",
-     .Type = SettingType::Endpoint,
-     .Help = "Where the administration API is served (HTTP)",
-     .Required = true},
+    ControlSpec,
+    AdminSpec,
     {.Name = "upstream",
      .Type = SettingType::Endpoint,
      .Help = "Where the upstream receives packets (UDP)",
@@ -74,16 +56,9 @@
      .Type = SettingType::Endpoint,
      .Help = "Where packets for callers are sent (UDP)",
      .Required = true},
-    {.Name = "platform",
-     .Type = SettingType::Endpoint,
-     .Help = "The configuration service; without it only neighbours are asked"},
-    {.Name = "peers",
-     .Type = SettingType::EndpointList,
-     .Help = "Control addresses of neighbours to begin with"},
-    {.Name = "log-level",
-     .Type = SettingType::Text,
-     .Help = "Lowest level that is logged: debug, info, warning or error",
-     .Default = "info"},
+    PlatformSpec,
+    PeersSpec,
+    LogLevelSpec,
     {.Name = "drain-deadline-s",
      .Type = SettingType::Number,
      .Help = "Longest time to serve flows after SIGTERM",
@@ -92,26 +67,6 @@
      .Max = 86'400},
 };
 
-Result<LogLevel> readLogLevel(std::string_view Text) {
-  struct Row {
-    std::string_view Name;
-    LogLevel Level;
-  };
-  constexpr Row Rows[] = {{"debug", LogLevel::Debug},
-                          {"info", LogLevel::Info},
-                          {"warning", LogLevel::Warning},
-                          {"error", LogLevel::Error}};
-  for (const Row &Each : Rows) {
-    if (Each.Name == Text) {
-      return Each.Level;
-    }
-  }
-  return makeError(
-      ErrorKind::InvalidSetting,
-      fmt::format("--log-level: '{}' is not debug, info, warning or error",
-                  Text));
-}
-
 bool isName(std::string_view Text) {
   constexpr std::size_t MaxName = 63;
   return !Text.empty() && Text.size() <= MaxName &&
@@ -152,61 +107,12 @@
   return {Listen.Address, static_cast<std::uint16_t>(Port)};
 }
 
-std::int64_t toMilliseconds(Duration Value) {
-  return std::chrono::duration_cast<milliseconds>(Value).count();
-}
-
-double toSeconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
-Instant now() { return std::chrono::steady_clock::now(); }
-
-Json tableJson(const AgentView &View) {
-  if (View.InForce == nullptr) {
-    return nullptr;
-  }
-  const TableVersion Version = View.InForce->version();
-  return {{"epoch", Version.Epoch}, {"revision", Version.Revision}};
-}
-
-/// A digest as text, since JSON numbers lose digits above 2^53.
-Json digestJson(const AgentView &View) {
-  return View.InForce == nullptr
-             ? Json()
-             : Json(fmt::format("{:016x}", View.InForce->digest()));
-}
-
-std::string upstreamName(const Table &InForce, UpstreamId Id) {
-  const Upstream *Found = InForce.findUpstream(Id);
-  return Found == nullptr ? fmt::format("{:08x}", Id.Value) : Found->Name;
-}
-
 std::string serviceName(const AgentView &View, ServiceId Id) {
   const Service *Found =
       View.InForce == nullptr ? nullptr : View.InForce->findService(Id);
   return Found == nullptr ? fmt::format("{:08x}", Id.Value) : Found->Name;
 }
 
-Json serviceJson(const Table &InForce, const Service &Each) {
-  Json Rows = Json::array();
-  for (const Assignment &Row : InForce.assignments(Each.Id)) {
-    Rows.push_back({{"name", upstreamName(InForce, Row.Upstream)},
-                    {"weight", Row.Weight}});
-  }
-  return {{"name", Each.Name},     {"address", formatEndpoint(Each.Address)},
-          {"class", Each.Class},   {"share", Each.Share},
-          {"closed", Each.Closed}, {"upstreams", std::move(Rows)}};
-}
-
-Json upstreamJson(const Upstream &Each) {
-  return {{"name", Each.Name},
-          {"endpoint", formatEndpoint(Each.Agent)},
-          {"zone", Each.AvailabilityZone},
-          {"slots", Each.Slots},
-          {"connections", Each.Connections}};
-}
-
 Json reasonJson(DrainReason Reason) {
   switch (Reason) {
   case DrainReason::Table:
@@ -279,19 +185,6 @@
           {"flows_ended", Counters.FlowsEnded}};
 }
 
-Json documentsJson(const DocumentStatus &Status) {
-  return {{"confirmed_ms_ago", toMilliseconds(Status.SinceConfirmed)},
-          {"reader", Status.Reader},
-          {"platform_reachable", Status.PlatformReachable},
-          {"platform_calls", Status.PlatformCalls},
-          {"older_ignored", Status.OlderIgnored},
-          {"conflicts_seen", Status.ConflictsSeen},
-          {"invalid_rejected", Status.InvalidRejected},
-          {"bytes_sent", Status.BytesSent},
-          {"bytes_received", Status.BytesReceived},
-          {"last_problem", Status.LastProblem}};
-}
-
 Json stateJson(const AgentView &View) {
   const AgentStatus &Status = View.Status;
   Json Flows = Json::object();
@@ -326,39 +219,17 @@
 }
 
 Json settingsJson(const AgentProcessSettings &Settings) {
-  const DocumentSettings &Documents = Settings.Documents;
-  Json Peers = Json::array();
-  for (const Endpoint &Peer : Documents.Peers) {
-    Peers.push_back(formatEndpoint(Peer));
-  }
-  return {{"name", Documents.Name},
-          {"services", Settings.Services},
-          {"zone", Documents.AvailabilityZone},
-          {"listen", formatEndpoint(Settings.Data.Listen)},
-          {"upstream", formatEndpoint(Settings.Data.Upstream)},
-          {"upstream_listen", formatEndpoint(Settings.Data.UpstreamListen)},
-          {"egress", formatEndpoint(Settings.Data.Egress)},
-          {"control", formatEndpoint(Documents.Control)},
-          {"admin", formatEndpoint(Settings.Admin)},
-          {"platform", Documents.Platform
-                           ? Json(formatEndpoint(*Documents.Platform))
-                           : Json()},
-          {"peers", std::move(Peers)},
-          {"drain_deadline_s", toSeconds(Settings.Data.Logic.DrainDeadline)}};
-}
-
-std::string textOf(const Json &Body) {
-  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-AdminAnswer jsonAnswer(const Json &Body, unsigned Status = StatusOk) {
-  return {Status, "application/json", textOf(Body)};
-}
-
-AdminAnswer noTable() {
-  return jsonAnswer(
-      {{"error", "no_table"}, {"detail", "there is no table in force yet"}},
-      StatusUnavailable);
+  Json Body = {
+      {"name", Settings.Documents.Name},
+      {"services", Settings.Services},
+      {"zone", Settings.Documents.AvailabilityZone},
+      {"listen", formatEndpoint(Settings.Data.Listen)},
+      {"upstream", formatEndpoint(Settings.Data.Upstream)},
+      {"upstream_listen", formatEndpoint(Settings.Data.UpstreamListen)},
+      {"egress", formatEndpoint(Settings.Data.Egress)}};
+  addProcessSettings(Body, Settings);
+  Body["drain_deadline_s"] = toSeconds(Settings.Data.Logic.DrainDeadline);
+  return Body;
 }
 
 /// The candidates of a flow in their order, then those without weight.
@@ -391,32 +262,27 @@
   return List;
 }
 
-/// Counts errors since the last log line about their kind.
+/// Logs the errors that were counted since the last log line of their kind.
 class ErrorReport {
 public:
   void update(const AgentDataCounters &Counters, Instant Now) {
     for (std::size_t I = 0; I < ErrorKindCount; ++I) {
+      const auto Kind = static_cast<ErrorKind>(I);
       const std::uint64_t Total = Counters.Errors[I];
-      Entry &Each = this->Entries[I];
-      const bool IsDue = !Each.LoggedAt || Now - *Each.LoggedAt >= LogPeriod;
-      if (Total <= Each.Logged || !IsDue) {
-        continue;
+      const std::uint64_t Count =
+          this->Limiter.add(Kind, Now, Total - this->Seen[I]);
+      this->Seen[I] = Total;
+      if (Count != 0) {
+        log(LogLevel::Warning, "errors on the data path",
+            {{"kind", errorName(Kind)},
+             {"count", static_cast<std::int64_t>(Count)}});
       }
-      log(LogLevel::Warning, "errors on the data path",
-          {{"kind", errorName(static_cast<ErrorKind>(I))},
-           {"count", static_cast<std::int64_t>(Total - Each.Logged)}});
-      Each.Logged = Total;
-      Each.LoggedAt = Now;
     }
   }
 
 private:
-  struct Entry {
-    std::uint64_t Logged = 0;
-    std::optional<Instant> LoggedAt;
-  };
-
-  std::array<Entry, ErrorKindCount> Entries;
+  ProblemLimiter Limiter;
+  std::array<std::uint64_t, ErrorKindCount> Seen = {};
 };
 
 } // namespace
@@ -424,27 +290,17 @@
 std::span<const SettingSpec> agentSettingSpecs() { return Specs; }
 
 Result<AgentProcessSettings> readAgentSettings(const Settings &Parsed) {
-  const auto Lowest = readLogLevel(Parsed.text("log-level"));
-  if (!Lowest) {
-    return tl::unexpected<Error>(Lowest.error());
+  auto Common = readProcessSettings(Parsed, VmRole::Agent);
+  if (!Common) {
+    return tl::unexpected<Error>(std::move(Common.error()));
   }
   auto Services = readServices(Parsed.text("services"));
   if (!Services) {
     return tl::unexpected<Error>(std::move(Services.error()));
   }
   AgentProcessSettings Read;
+  static_cast<ProcessSettings &>(Read) = std::move(*Common);
   Read.Services = std::move(*Services);
-  Read.Documents.Name = Parsed.text("name");
-  Read.Documents.AvailabilityZone = Parsed.text("zone");
-  Read.Documents.Role = VmRole::Agent;
-  Read.Documents.Control = Parsed.endpoint("control");
-  if (!Parsed.text("platform").empty()) {
-    Read.Documents.Platform = Parsed.endpoint("platform");
-  }
-  const auto Peers = Parsed.endpoints("peers");
-  Read.Documents.Peers.assign(Peers.begin(), Peers.end());
-  Read.Admin = Parsed.endpoint("admin");
-  Read.Lowest = *Lowest;
   Read.Data.Name = Read.Documents.Name;
   Read.Data.Listen = Parsed.endpoint("listen");
   Read.Data.Upstream = Parsed.endpoint("upstream");
@@ -500,13 +356,7 @@
        {"upstream_listen", formatEndpoint(this->Data->upstreamAddress())},
        {"admin", formatEndpoint(this->Admin.address())},
        {"version", ProductVersion}});
-  std::optional<SignalRequest> Request;
-  while (Request != SignalRequest::Stop) {
-    Request = waitForSignal(std::chrono::seconds(1));
-    if (Request == SignalRequest::Dump) {
-      this->logDump();
-    }
-  }
+  waitForStop([this] { return this->dump(); });
   const StopReport Report = this->drain();
   this->Running = nullptr;
   Started->stop();
@@ -531,10 +381,13 @@
   this->Admin.serveMetrics(this->Registry);
   this->Admin.handle(
       "/health", [this](const AdminQuery &) { return this->answerHealth(); });
-  this->Admin.handle(
-      "/version", [this](const AdminQuery &) { return this->answerVersion(); });
-  this->Admin.handle(
-      "/table", [this](const AdminQuery &) { return this->answerTable(); });
+  this->Admin.handle("/version", [this](const AdminQuery &) {
+    return versionAnswer(this->identity(), this->Data->view()->InForce.get(),
+                         this->Feed.status());
+  });
+  this->Admin.handle("/table", [this](const AdminQuery &) {
+    return tableAnswer(this->Data->view()->InForce.get());
+  });
   this->Admin.handle("/explain", [this](const AdminQuery &Query) {
     return this->answerExplain(Query);
   });
@@ -575,7 +428,7 @@
   this->Data->terminate();
   while (!this->Data->isDrained() && now() - StopAt < Deadline + StopMargin) {
     if (waitForSignal(StopCheckPeriod) == SignalRequest::Dump) {
-      this->logDump();
+      logStateDump(this->dump());
     }
   }
   // The last view may be older than the end of the last flow.
@@ -602,22 +455,17 @@
   Counters["message_bytes_sent"] = Data.MessageBytesSent.load();
   Counters["message_bytes_received"] = Data.MessageBytesReceived.load();
   Counters["documents"] = documentsJson(this->Feed.status());
-  return textOf({{"process",
-                  {{"process", ProgramName},
-                   {"name", this->Settings.Documents.Name},
-                   {"product_version", ProductVersion},
-                   {"uptime_s", toSeconds(now() - this->StartedAt)}}},
-                 {"settings", settingsJson(this->Settings)},
-                 {"table", tableJson(*View)},
-                 {"digest", digestJson(*View)},
-                 {"duties", dutiesJson(this->dutyStatus())},
-                 {"counters", std::move(Counters)},
-                 {"state", stateJson(*View)}});
+  return jsonText({{"process", processJson(this->identity(), this->StartedAt)},
+                   {"settings", settingsJson(this->Settings)},
+                   {"table", versionJson(View->InForce.get())},
+                   {"digest", digestJson(View->InForce.get())},
+                   {"duties", dutiesJson(this->dutyStatus())},
+                   {"counters", std::move(Counters)},
+                   {"state", stateJson(*View)}});
 }
 
-void AgentProcess::logDump() const {
-  // A level above the default of production, since an operator asked for it.
-  log(LogLevel::Warning, "state dump", {{"dump", this->dump()}});
+ProcessIdentity AgentProcess::identity() const {
+  return {ProgramName, this->Settings.Documents.Name};
 }
 
 std::vector<DutyStatus> AgentProcess::dutyStatus() const {
@@ -638,20 +486,8 @@
       }
     }
   }
-  for (const DutyStatus &Status : this->dutyStatus()) {
-    if (!Status.Running) {
-      List.push_back(fmt::format("duty {} is restarting: {}", Status.Name,
-                                 Status.LastError));
-    }
-  }
-  const DocumentStatus Status = this->Feed.status();
-  if (Status.Reader && !Status.PlatformReachable &&
-      this->Settings.Documents.Platform) {
-    List.emplace_back("the configuration service cannot be reached");
-  }
-  if (!Status.LastProblem.empty()) {
-    List.push_back(Status.LastProblem);
-  }
+  addProblems(List, this->dutyStatus(), this->Feed.status(),
+              this->Settings.Documents.Platform.has_value());
   return List;
 }
 
@@ -662,79 +498,34 @@
                     Problems.empty() ? StatusOk : StatusUnavailable);
 }
 
-AdminAnswer AgentProcess::answerVersion() const {
-  const DocumentStatus Status = this->Feed.status();
-  const auto View = this->Data->view();
-  return jsonAnswer({{"process", ProgramName},
-                     {"name", this->Settings.Documents.Name},
-                     {"product_version", ProductVersion},
-                     {"table", tableJson(*View)},
-                     {"digest", digestJson(*View)},
-                     {"age_ms", toMilliseconds(Status.SinceConfirmed)},
-                     {"reader", Status.Reader},
-                     {"platform_reachable", Status.PlatformReachable}});
-}
-
-AdminAnswer AgentProcess::answerTable() const {
-  const auto View = this->Data->view();
-  if (View->InForce == nullptr) {
-    return noTable();
-  }
-  Json Services = Json::array();
-  for (const Service &Each : View->InForce->services()) {
-    Services.push_back(serviceJson(*View->InForce, Each));
-  }
-  Json Upstreams = Json::array();
-  for (const Upstream &Each : View->InForce->upstreams()) {
-    Upstreams.push_back(upstreamJson(Each));
-  }
-  return jsonAnswer({{"table", tableJson(*View)},
-                     {"digest", digestJson(*View)},
-                     {"services", std::move(Services)},
-                     {"upstreams", std::move(Upstreams)}});
-}
-
 AdminAnswer AgentProcess::answerExplain(const AdminQuery &Query) {
-  FlowKey Key;
-  struct Part {
-    std::string_view Name;
-    Endpoint &Target;
-  };
-  for (const Part &Each :
-       {Part{"caller", Key.Caller}, Part{"service", Key.Service}}) {
-    const auto Found = Query.find(Each.Name);
-    const auto Value = parseEndpoint(Found == Query.end() ? "" : Found->second);
-    if (!Value) {
-      return jsonAnswer({{"error", "bad_request"},
-                         {"detail", fmt::format("parameter {}: {}", Each.Name,
-                                                Value.error().Detail)}},
-                        StatusBadRequest);
-    }
-    Each.Target = *Value;
+  const auto Key = readFlowQuery(Query);
+  if (!Key) {
+    return badRequestAnswer(Key.error().Detail);
   }
   const auto View = this->Data->view();
   if (View->InForce == nullptr) {
-    return noTable();
+    return noTableAnswer();
   }
-  const Service *Owner = View->InForce->findService(Key.Service);
-  Json Body = {{"caller", formatEndpoint(Key.Caller)},
-               {"service", formatEndpoint(Key.Service)},
+  const Service *Owner = View->InForce->findService(Key->Service);
+  Json Body = {{"caller", formatEndpoint(Key->Caller)},
+               {"service", formatEndpoint(Key->Service)},
                {"service_name", Owner == nullptr ? Json() : Json(Owner->Name)},
-               {"table", tableJson(*View)},
+               {"table", versionJson(View->InForce.get())},
                {"upstream", nullptr},
                {"reason", "no service has this address"},
                {"candidates", Json::array()}};
   if (Owner != nullptr) {
-    const auto Home = chooseHome(View->InForce->assignments(Owner->Id), Key,
+    const auto Home = chooseHome(View->InForce->assignments(Owner->Id), *Key,
                                  [](UpstreamId) { return false; });
     if (Home) {
       Body["upstream"] = upstreamName(*View->InForce, *Home);
     }
     Body["reason"] = Home ? "first candidate by the table; agents suspect none"
                           : "no upstream of the service takes new work";
-    Body["candidates"] = candidatesJson(*View->InForce, *Owner, Key);
+    Body["candidates"] = candidatesJson(*View->InForce, *Owner, *Key);
   }
-  Body["flow"] = this->Data->explain(Key);
+  Body["flow"] = this->Data->explain(*Key);
   return jsonAnswer(Body);
 }
 
--- a/src/balancer-data.cc
+++ b/src/balancer-data.cc
@@ -17,25 +17,6 @@
 /// Actions that one event can cause without allocation.
 constexpr std::size_t ActionReserve = 64;
 
-prometheus::Counter &makeCounter(prometheus::Registry &Metrics,
-                                 const std::string &Name,
-                                 const std::string &Help) {
-  return prometheus::BuildCounter()
-      .Name("mulberry_" + Name)
-      .Help(Help)
-      .Register(Metrics)
-      .Add({});
-}
-
-prometheus::Gauge &makeGauge(prometheus::Registry &Metrics,
-                             const std::string &Name, const std::string &Help) {
-  return prometheus::BuildGauge()
-      .Name("mulberry_" + Name)
-      .Help(Help)
-      .Register(Metrics)
-      .Add({});
-}
-
 Instant now() { return std::chrono::steady_clock::now(); }
 
 } // namespace
@@ -59,26 +40,9 @@
       ShedProblems(makeCounter(Metrics, "balancer_shed_log_entries_total",
                                "Input errors that were counted but not "
                                "passed to the log")),
-      PlatformCalls(makeCounter(Metrics, "platform_calls_total",
-                                "Calls to the configuration service")),
-      OlderTables(makeCounter(Metrics, "older_tables_total",
-                              "Tables ignored because they were older")),
-      InvalidTables(makeCounter(Metrics, "invalid_tables_total",
-                                "Tables rejected by the checks")),
-      ControlBytesSent(makeCounter(Metrics, "control_sent_bytes_total",
-                                   "Bytes of the document exchange sent")),
-      ControlBytesReceived(
-          makeCounter(Metrics, "control_received_bytes_total",
-                      "Bytes of the document exchange received")),
       SuspectedAgents(makeGauge(Metrics, "balancer_suspected_agents",
                                 "Agents that are suspected now")),
-      TableEpoch(
-          makeGauge(Metrics, "table_epoch", "Epoch of the table in force")),
-      TableRevision(makeGauge(Metrics, "table_revision",
-                              "Revision of the table in force")),
-      TableAge(makeGauge(Metrics, "table_age_seconds",
-                         "Time since the table in force was confirmed by a "
-                         "read")) {}
+      Documents(Metrics) {}
 
 /// The state of one run: fresh whenever the supervisor restarts the duty.
 struct BalancerData::Turn {
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -5,60 +5,34 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "mulberryhoist/signals.h"
-
 namespace mulberryhoist {
 namespace {
 
-using Json = nlohmann::ordered_json;
 using std::chrono::milliseconds;
 
 /// How often the report duty looks for problems.
 constexpr Duration ReportPeriod = milliseconds(100);
 
-/// The shortest time between two log lines about one kind of input error.
-constexpr Duration LogPeriod = std::chrono::seconds(10);
-
 /// How often a stopping balancer looks whether it may exit.
 constexpr Duration StopCheckPeriod = milliseconds(50);
 
 constexpr std::string_view ProgramName = "mulberry-balancer";
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnavailable = 503;
-
 constexpr SettingSpec Specs[] = {
     {.Name = "name",
      .Type = SettingType::Name,
      .Help = "Name of this VM in the VM list",
      .Required = true},
-    {.Name = "zone",
-     .Type = SettingType::Name,
-     .Help = "Availability zone of this VM",
-     .Required = true},
+    ZoneSpec,
     {.Name = "listen",
      .Type = SettingType::Endpoint,
      .Help = "Where packets and probe replies are received (UDP)",
      .Required = true},
-    {.Name = "control",
-     .Type = SettingType::Endpoint,
-     .Help = "Where neighbours connect for the document exchange",
-     .Required = true},
-    {.Name = "admin",
-     .Type = SettingType::Endpoint,
-     .Help = "Where the administration API is served (HTTP)",
-     .Required = true},
-    {.Name = "platform",
-     .Type = SettingType::Endpoint,
-     .Help = "The configuration service; without it only neighbours are asked"},
-    {.Name = "peers",
-     .Type = SettingType::EndpointList,
-     .Help = "Control addresses of neighbours to begin with"},
-    {.Name = "log-level",
-     .Type = SettingType::Text,
-     .Help = "Lowest level that is logged: debug, info, warning or error",
-     .Default = "info"},
+    ControlSpec,
+    AdminSpec,
+    PlatformSpec,
+    PeersSpec,
+    LogLevelSpec,
     {.Name = "stop-deadline-s",
      .Type = SettingType::Number,
      .Help = "Longest time to forward packets after SIGTERM",
@@ -67,80 +41,6 @@
      .Max = 3600},
 };
 
-Result<LogLevel> readLogLevel(std::string_view Text) {
-  struct Row {
-    std::string_view Name;
-    LogLevel Level;
-  };
-  constexpr Row Rows[] = {{"debug", LogLevel::Debug},
-                          {"info", LogLevel::Info},
-                          {"warning", LogLevel::Warning},
-                          {"error", LogLevel::Error}};
-  for (const Row &Each : Rows) {
-    if (Each.Name == Text) {
-      return Each.Level;
-    }
-  }
-  return makeError(
-      ErrorKind::InvalidSetting,
-      fmt::format("--log-level: '{}' is not debug, info, warning or error",
-                  Text));
-}
-
-std::int64_t toMilliseconds(Duration Value) {
-  return std::chrono::duration_cast<milliseconds>(Value).count();
-}
-
-double toSeconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
-Instant now() { return std::chrono::steady_clock::now(); }
-
-Json versionJson(const DocumentVersion &Version) {
-  return {{"epoch", Version.Epoch}, {"revision", Version.Revision}};
-}
-
-/// The version of the table in force, or null before there is one.
-Json tableJson(const BalancerView &View) {
-  return View.InForce == nullptr ? Json()
-                                 : versionJson(View.InForce->version());
-}
-
-/// A digest as text, since JSON numbers lose digits above 2^53.
-std::string digestText(std::uint64_t Digest) {
-  return fmt::format("{:016x}", Digest);
-}
-
-Json digestJson(const BalancerView &View) {
-  return View.InForce == nullptr ? Json()
-                                 : Json(digestText(View.InForce->digest()));
-}
-
-std::string upstreamName(const Table &InForce, UpstreamId Id) {
-  const Upstream *Found = InForce.findUpstream(Id);
-  return Found == nullptr ? fmt::format("{:08x}", Id.Value) : Found->Name;
-}
-
-Json serviceJson(const Table &InForce, const Service &Each) {
-  Json Rows = Json::array();
-  for (const Assignment &Row : InForce.assignments(Each.Id)) {
-    Rows.push_back({{"name", upstreamName(InForce, Row.Upstream)},
-                    {"weight", Row.Weight}});
-  }
-  return {{"name", Each.Name},     {"address", formatEndpoint(Each.Address)},
-          {"class", Each.Class},   {"share", Each.Share},
-          {"closed", Each.Closed}, {"upstreams", std::move(Rows)}};
-}
-
-Json upstreamJson(const Upstream &Each) {
-  return {{"name", Each.Name},
-          {"endpoint", formatEndpoint(Each.Agent)},
-          {"zone", Each.AvailabilityZone},
-          {"slots", Each.Slots},
-          {"connections", Each.Connections}};
-}
-
 /// Why a candidate is avoided, or null.
 Json excludedJson(Exclusion Value) {
   return Value == Exclusion::None ? Json() : Json(exclusionName(Value));
@@ -191,71 +91,19 @@
       {"caller", formatEndpoint(Key.Caller)},
       {"service", formatEndpoint(Key.Service)},
       {"service_name", Owner == nullptr ? Json() : Json(Owner->Name)},
-      {"table", versionJson(InForce.version())},
+      {"table", versionJson(&InForce)},
       {"upstream", Why.Home ? Json(upstreamName(InForce, *Why.Home)) : Json()},
       {"reason", reasonText(Why)},
       {"candidates", std::move(Candidates)}};
 }
 
-Json documentsJson(const DocumentStatus &Status) {
-  return {{"confirmed_age_ms", toMilliseconds(Status.SinceConfirmed)},
-          {"reader", Status.Reader},
-          {"platform_reachable", Status.PlatformReachable},
-          {"platform_calls", Status.PlatformCalls},
-          {"older_ignored", Status.OlderIgnored},
-          {"conflicts_seen", Status.ConflictsSeen},
-          {"invalid_rejected", Status.InvalidRejected},
-          {"bytes_sent", Status.BytesSent},
-          {"bytes_received", Status.BytesReceived},
-          {"last_problem", Status.LastProblem}};
-}
-
-Json dutyJson(const DutyStatus &Status) {
-  return {{"name", Status.Name},
-          {"running", Status.Running},
-          {"restarts", Status.Restarts},
-          {"last_error", Status.LastError}};
-}
-
-Json dutiesJson(const std::vector<DutyStatus> &Duties) {
-  Json List = Json::array();
-  for (const DutyStatus &Status : Duties) {
-    List.push_back(dutyJson(Status));
-  }
-  return List;
-}
-
 Json settingsJson(const BalancerSettings &Settings) {
-  const DocumentSettings &Documents = Settings.Documents;
-  Json Peers = Json::array();
-  for (const Endpoint &Peer : Documents.Peers) {
-    Peers.push_back(formatEndpoint(Peer));
-  }
-  return {{"name", Documents.Name},
-          {"zone", Documents.AvailabilityZone},
-          {"listen", formatEndpoint(Settings.Listen)},
-          {"control", formatEndpoint(Documents.Control)},
-          {"admin", formatEndpoint(Settings.Admin)},
-          {"platform", Documents.Platform
-                           ? Json(formatEndpoint(*Documents.Platform))
-                           : Json()},
-          {"peers", std::move(Peers)},
-          {"stop_deadline_s", toSeconds(Settings.StopDeadline)}};
-}
-
-AdminAnswer jsonAnswer(const Json &Body, unsigned Status = StatusOk) {
-  return {Status, "application/json",
-          Body.dump(-1, ' ', false, Json::error_handler_t::replace)};
-}
-
-AdminAnswer badRequest(std::string_view Detail) {
-  return jsonAnswer({{"error", "bad_request"}, {"detail", Detail}},
-                    StatusBadRequest);
-}
-
-/// Raises a counter to a total that is counted elsewhere.
-void raiseTo(prometheus::Counter &Counter, std::uint64_t Total) {
-  Counter.Increment(static_cast<double>(Total) - Counter.Value());
+  Json Body = {{"name", Settings.Documents.Name},
+               {"zone", Settings.Documents.AvailabilityZone},
+               {"listen", formatEndpoint(Settings.Listen)}};
+  addProcessSettings(Body, Settings);
+  Body["stop_deadline_s"] = toSeconds(Settings.StopDeadline);
+  return Body;
 }
 
 } // namespace
@@ -263,23 +111,13 @@
 std::span<const SettingSpec> balancerSettingSpecs() { return Specs; }
 
 Result<BalancerSettings> readBalancerSettings(const Settings &Parsed) {
-  const auto Lowest = readLogLevel(Parsed.text("log-level"));
-  if (!Lowest) {
-    return tl::unexpected<Error>(Lowest.error());
+  auto Common = readProcessSettings(Parsed, VmRole::Balancer);
+  if (!Common) {
+    return tl::unexpected<Error>(std::move(Common.error()));
   }
   BalancerSettings Read;
-  Read.Documents.Name = Parsed.text("name");
-  Read.Documents.AvailabilityZone = Parsed.text("zone");
-  Read.Documents.Role = VmRole::Balancer;
-  Read.Documents.Control = Parsed.endpoint("control");
-  if (!Parsed.text("platform").empty()) {
-    Read.Documents.Platform = Parsed.endpoint("platform");
-  }
-  const auto Peers = Parsed.endpoints("peers");
-  Read.Documents.Peers.assign(Peers.begin(), Peers.end());
+  static_cast<ProcessSettings &>(Read) = std::move(*Common);
   Read.Listen = Parsed.endpoint("listen");
-  Read.Admin = Parsed.endpoint("admin");
-  Read.Lowest = *Lowest;
   Read.StopDeadline = std::chrono::seconds(Parsed.number("stop-deadline-s"));
   return Read;
 }
@@ -295,16 +133,6 @@
   return std::nullopt;
 }
 
-std::uint64_t ProblemLimiter::add(ErrorKind Kind, Instant Now) {
-  Entry &Each = this->Entries[static_cast<std::size_t>(Kind)];
-  ++Each.Waiting;
-  if (Each.LoggedAt && Now - *Each.LoggedAt < LogPeriod) {
-    return 0;
-  }
-  Each.LoggedAt = Now;
-  return std::exchange(Each.Waiting, 0);
-}
-
 BalancerProcess::BalancerProcess(BalancerSettings Settings, DocumentFeed Feed,
                                  AdminServer Admin)
     : Settings(std::move(Settings)), Feed(std::move(Feed)),
@@ -345,13 +173,7 @@
       {{"listen", formatEndpoint(this->Data->address())},
        {"admin", formatEndpoint(this->Admin.address())},
        {"version", ProductVersion}});
-  std::optional<SignalRequest> Request;
-  while (Request != SignalRequest::Stop) {
-    Request = waitForSignal(std::chrono::seconds(1));
-    if (Request == SignalRequest::Dump) {
-      this->logDump();
-    }
-  }
+  waitForStop([this] { return this->dump(); });
   const StopReason Reason = this->waitUntilQuiet();
   Started->stop();
   this->Running = nullptr;
@@ -376,10 +198,13 @@
   this->Admin.serveMetrics(this->Registry);
   this->Admin.handle(
       "/health", [this](const AdminQuery &) { return this->answerHealth(); });
-  this->Admin.handle(
-      "/version", [this](const AdminQuery &) { return this->answerVersion(); });
-  this->Admin.handle(
-      "/table", [this](const AdminQuery &) { return this->answerTable(); });
+  this->Admin.handle("/version", [this](const AdminQuery &) {
+    return versionAnswer(this->identity(), this->Data->view()->InForce.get(),
+                         this->Feed.status());
+  });
+  this->Admin.handle("/table", [this](const AdminQuery &) {
+    return tableAnswer(this->Data->view()->InForce.get());
+  });
   this->Admin.handle("/explain", [this](const AdminQuery &Query) {
     return this->answerExplain(Query);
   });
@@ -396,7 +221,9 @@
   double PausesSeen = this->Metrics.Pauses.Value();
   while (!Stop.stop_requested()) {
     this->reportProblems(Limiter);
-    this->updateMetrics();
+    raiseTo(this->Metrics.ShedProblems, this->Data->shedProblems());
+    this->Metrics.Documents.update(this->Feed.status(),
+                                   this->Data->view()->InForce.get());
     if (this->Metrics.Pauses.Value() > PausesSeen) {
       PausesSeen = this->Metrics.Pauses.Value();
       log(LogLevel::Warning, "process was paused; suspicions are discarded",
@@ -419,23 +246,6 @@
   }
 }
 
-void BalancerProcess::updateMetrics() {
-  const DocumentStatus Status = this->Feed.status();
-  this->Metrics.TableAge.Set(toSeconds(Status.SinceConfirmed));
-  raiseTo(this->Metrics.ShedProblems, this->Data->shedProblems());
-  raiseTo(this->Metrics.PlatformCalls, Status.PlatformCalls);
-  raiseTo(this->Metrics.OlderTables, Status.OlderIgnored);
-  raiseTo(this->Metrics.InvalidTables, Status.InvalidRejected);
-  raiseTo(this->Metrics.ControlBytesSent, Status.BytesSent);
-  raiseTo(this->Metrics.ControlBytesReceived, Status.BytesReceived);
-  const auto InForce = this->Data->view()->InForce;
-  if (InForce != nullptr) {
-    this->Metrics.TableEpoch.Set(InForce->version().Epoch);
-    this->Metrics.TableRevision.Set(
-        static_cast<double>(InForce->version().Revision));
-  }
-}
-
 /// Forwards packets until the fabric has turned to other balancers.
 StopReason BalancerProcess::waitUntilQuiet() {
   this->Leaving = true;
@@ -445,7 +255,7 @@
   std::optional<StopReason> Reason;
   while (!Reason) {
     if (waitForSignal(StopCheckPeriod) == SignalRequest::Dump) {
-      this->logDump();
+      logStateDump(this->dump());
     }
     Reason = stopReason(StopAt, this->Data->lastPacketAt(),
                         this->Settings.StopDeadline, now());
@@ -460,28 +270,28 @@
 
 std::string BalancerProcess::dump() const {
   const auto View = this->Data->view();
-  const Json Body = {
-      {"process",
-       {{"process", ProgramName},
-        {"name", this->Settings.Documents.Name},
-        {"product_version", ProductVersion},
-        {"uptime_s", toSeconds(now() - this->StartedAt)},
-        {"leaving", this->Leaving.load()}}},
-      {"settings", settingsJson(this->Settings)},
-      {"table", tableJson(*View)},
-      {"digest", digestJson(*View)},
-      {"duties", dutiesJson(this->dutyStatus())},
-      {"counters",
-       {{"packets", this->Metrics.Packets.Value()},
-        {"openings", this->Metrics.Openings.Value()},
-        {"forwarded_packets", this->Metrics.ForwardedPackets.Value()},
-        {"forwarded_bytes", this->Metrics.ForwardedBytes.Value()},
-        {"probe_bytes", this->Metrics.ProbeBytes.Value()},
-        {"dropped_openings", this->Metrics.DroppedOpenings.Value()},
-        {"pauses", this->Metrics.Pauses.Value()},
-        {"documents", documentsJson(this->Feed.status())}}},
-      {"state", {{"agents", agentsJson(*View)}}}};
-  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  Json Process = processJson(this->identity(), this->StartedAt);
+  Process["leaving"] = this->Leaving.load();
+  return jsonText(
+      {{"process", std::move(Process)},
+       {"settings", settingsJson(this->Settings)},
+       {"table", versionJson(View->InForce.get())},
+       {"digest", digestJson(View->InForce.get())},
+       {"duties", dutiesJson(this->dutyStatus())},
+       {"counters",
+        {{"packets", this->Metrics.Packets.Value()},
+         {"openings", this->Metrics.Openings.Value()},
+         {"forwarded_packets", this->Metrics.ForwardedPackets.Value()},
+         {"forwarded_bytes", this->Metrics.ForwardedBytes.Value()},
+         {"probe_bytes", this->Metrics.ProbeBytes.Value()},
+         {"dropped_openings", this->Metrics.DroppedOpenings.Value()},
+         {"pauses", this->Metrics.Pauses.Value()},
+         {"documents", documentsJson(this->Feed.status())}}},
+       {"state", {{"agents", agentsJson(*View)}}}});
+}
+
+ProcessIdentity BalancerProcess::identity() const {
+  return {ProgramName, this->Settings.Documents.Name};
 }
 
 std::vector<DutyStatus> BalancerProcess::dutyStatus() const {
@@ -489,11 +299,6 @@
   return Duties == nullptr ? std::vector<DutyStatus>() : Duties->status();
 }
 
-void BalancerProcess::logDump() const {
-  // A level above the default of production, since an operator asked for it.
-  log(LogLevel::Warning, "state dump", {{"dump", this->dump()}});
-}
-
 std::vector<std::string> BalancerProcess::problems() const {
   std::vector<std::string> List;
   if (this->Leaving) {
@@ -502,20 +307,8 @@
   if (this->Data->view()->InForce == nullptr) {
     List.emplace_back("there is no table in force yet");
   }
-  for (const DutyStatus &Status : this->dutyStatus()) {
-    if (!Status.Running) {
-      List.push_back(fmt::format("duty {} is restarting: {}", Status.Name,
-                                 Status.LastError));
-    }
-  }
-  const DocumentStatus Status = this->Feed.status();
-  if (Status.Reader && !Status.PlatformReachable &&
-      this->Settings.Documents.Platform) {
-    List.emplace_back("the configuration service cannot be reached");
-  }
-  if (!Status.LastProblem.empty()) {
-    List.push_back(Status.LastProblem);
-  }
+  addProblems(List, this->dutyStatus(), this->Feed.status(),
+              this->Settings.Documents.Platform.has_value());
   return List;
 }
 
@@ -528,64 +321,17 @@
                     Problems.empty() ? StatusOk : StatusUnavailable);
 }
 
-AdminAnswer BalancerProcess::answerVersion() const {
-  const DocumentStatus Status = this->Feed.status();
-  const auto View = this->Data->view();
-  return jsonAnswer({{"process", ProgramName},
-                     {"name", this->Settings.Documents.Name},
-                     {"product_version", ProductVersion},
-                     {"table", tableJson(*View)},
-                     {"digest", digestJson(*View)},
-                     {"age_ms", toMilliseconds(Status.SinceConfirmed)},
-                     {"reader", Status.Reader},
-                     {"platform_reachable", Status.PlatformReachable}});
-}
-
-AdminAnswer BalancerProcess::answerTable() const {
-  const auto InForce = this->Data->view()->InForce;
-  if (InForce == nullptr) {
-    return jsonAnswer(
-        {{"error", "no_table"}, {"detail", "there is no table in force yet"}},
-        StatusUnavailable);
-  }
-  Json Services = Json::array();
-  for (const Service &Each : InForce->services()) {
-    Services.push_back(serviceJson(*InForce, Each));
-  }
-  Json Upstreams = Json::array();
-  for (const Upstream &Each : InForce->upstreams()) {
-    Upstreams.push_back(upstreamJson(Each));
-  }
-  return jsonAnswer({{"table", versionJson(InForce->version())},
-                     {"digest", digestText(InForce->digest())},
-                     {"services", std::move(Services)},
-                     {"upstreams", std::move(Upstreams)}});
-}
-
 AdminAnswer BalancerProcess::answerExplain(const AdminQuery &Query) const {
-  FlowKey Key;
-  struct Part {
-    std::string_view Name;
-    Endpoint &Target;
-  };
-  for (const Part &Each :
-       {Part{"caller", Key.Caller}, Part{"service", Key.Service}}) {
-    const auto Found = Query.find(Each.Name);
-    const auto Value = parseEndpoint(Found == Query.end() ? "" : Found->second);
-    if (!Value) {
-      return badRequest(
-          fmt::format("parameter {}: {}", Each.Name, Value.error().Detail));
-    }
-    Each.Target = *Value;
+  const auto Key = readFlowQuery(Query);
+  if (!Key) {
+    return badRequestAnswer(Key.error().Detail);
   }
   const auto View = this->Data->view();
   if (View->InForce == nullptr) {
-    return jsonAnswer(
-        {{"error", "no_table"}, {"detail", "there is no table in force yet"}},
-        StatusUnavailable);
+    return noTableAnswer();
   }
   return jsonAnswer(explanationJson(
-      *View->InForce, Key, explainFlow(*View->InForce, View->Agents, Key)));
+      *View->InForce, *Key, explainFlow(*View->InForce, View->Agents, *Key)));
 }
 
 } // namespace mulberryhoist
