Share the transition tables of flow and opening

Cause: flow.cc and opening.cc each had the same code that runs a Boost.MSM machine once for each state and event, and the same base of a machine.

Change: src/transitions.h holds both; the machines list their rows only. The states and events are counted by index, so a new member of an enumeration needs its row and its count, no further list. The header lies in src/ since Boost.MSM stays out of public headers.

--- a/src/flow.cc
+++ b/src/flow.cc
@@ -1,17 +1,17 @@
 #include "mulberryhoist/flow.h"
 
 #include <algorithm>
-#include <array>
-#include <boost/mpl/vector.hpp>
-#include <boost/msm/back/state_machine.hpp>
-#include <boost/msm/front/functor_row.hpp>
-#include <boost/msm/front/state_machine_def.hpp>
+
+#include "transitions.h"
 
 namespace mulberryhoist {
 namespace {
 
-namespace msm = boost::msm;
-using msm::front::Row;
+using boost::msm::front::Row;
+using detail::Enter;
+using detail::Occur;
+using detail::Start;
+using detail::StateOf;
 
 /// The largest window that TCP allows (RFC 7323); a packet further away from
 /// the expected numbers belongs to another incarnation.
@@ -21,21 +21,7 @@
 /// what is in flight in practice, and small enough to tell incarnations apart.
 constexpr std::uint32_t AdoptedWindow = 1U << 26U;
 
-/// Puts the machine into a state, from which one event is processed.
-template <FlowState State> struct Enter {};
-template <FlowEvent Event> struct Occur {};
-
-template <FlowState Value> struct StateOf : msm::front::state<> {
-  template <typename EventType, typename Machine>
-  void on_entry(const EventType & /*Event*/, Machine &Owner) {
-    Owner.Current = Value;
-  }
-};
-
-struct FlowDefinition : msm::front::state_machine_def<FlowDefinition> {
-  struct Start : msm::front::state<> {};
-  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM reads this name.
-  using initial_state = Start;
+struct FlowDefinition : detail::MachineDefinition<FlowDefinition, FlowState> {
   using Queued = StateOf<FlowState::Queued>;
   using HalfOpen = StateOf<FlowState::HalfOpen>;
   using Answered = StateOf<FlowState::Answered>;
@@ -71,43 +57,8 @@
       Row<Adopted, Terminated, Ended>,
       Row<Closing, Terminated, Ended>> {};
   // clang-format on
-
-  template <typename Machine, typename EventType>
-  void no_transition(const EventType & /*Event*/, Machine & /*Owner*/,
-                     int /*State*/) {}
-
-  FlowState Current = FlowState::Ended;
 };
 
-using FlowMachine = msm::back::state_machine<FlowDefinition>;
-using Successors = std::array<FlowState, FlowEventCount>;
-
-template <FlowState From, FlowEvent Event> FlowState successor() {
-  FlowMachine Machine;
-  Machine.start();
-  Machine.process_event(Enter<From>{});
-  Machine.process_event(Occur<Event>{});
-  return Machine.Current;
-}
-
-template <FlowState From> Successors successors() {
-  return {successor<From, FlowEvent::SlotGranted>(),
-          successor<From, FlowEvent::UpstreamAnswered>(),
-          successor<From, FlowEvent::CallerAcknowledged>(),
-          successor<From, FlowEvent::BothFinished>(),
-          successor<From, FlowEvent::Terminated>()};
-}
-
-/// Runs the machine once for each state and event. A machine in each record
-/// would cost several hundred bytes a flow and allocate.
-std::array<Successors, FlowStateCount> makeTransitions() {
-  return {
-      successors<FlowState::Queued>(),   successors<FlowState::HalfOpen>(),
-      successors<FlowState::Answered>(), successors<FlowState::Established>(),
-      successors<FlowState::Adopted>(),  successors<FlowState::Closing>(),
-      successors<FlowState::Ended>()};
-}
-
 void advance(FlowRecord &Flow, FlowEvent Event) {
   Flow.State = nextFlowState(Flow.State, Event);
 }
@@ -120,8 +71,9 @@
 } // namespace
 
 FlowState nextFlowState(FlowState State, FlowEvent Event) {
-  static const std::array<Successors, FlowStateCount> Transitions =
-      makeTransitions();
+  static const auto Transitions =
+      detail::makeTransitions<FlowDefinition, FlowState, FlowStateCount,
+                              FlowEvent, FlowEventCount>();
   return Transitions[static_cast<std::size_t>(State)]
                     [static_cast<std::size_t>(Event)];
 }
--- a/src/opening.cc
+++ b/src/opening.cc
@@ -1,32 +1,20 @@
 #include "mulberryhoist/opening.h"
 
 #include <algorithm>
-#include <boost/mpl/vector.hpp>
-#include <boost/msm/back/state_machine.hpp>
-#include <boost/msm/front/functor_row.hpp>
-#include <boost/msm/front/state_machine_def.hpp>
+
+#include "transitions.h"
 
 namespace mulberryhoist {
 namespace {
 
-namespace msm = boost::msm;
-using msm::front::Row;
-
-/// Puts the machine into a state, from which one event is processed.
-template <OpeningState State> struct Enter {};
-template <OpeningEvent Event> struct Occur {};
-
-template <OpeningState Value> struct StateOf : msm::front::state<> {
-  template <typename EventType, typename Machine>
-  void on_entry(const EventType & /*Event*/, Machine &Owner) {
-    Owner.Current = Value;
-  }
-};
+using boost::msm::front::Row;
+using detail::Enter;
+using detail::Occur;
+using detail::Start;
+using detail::StateOf;
 
-struct OpeningDefinition : msm::front::state_machine_def<OpeningDefinition> {
-  struct Start : msm::front::state<> {};
-  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM reads this name.
-  using initial_state = Start;
+struct OpeningDefinition
+    : detail::MachineDefinition<OpeningDefinition, OpeningState> {
   using Querying = StateOf<OpeningState::Querying>;
   using Choosing = StateOf<OpeningState::Choosing>;
   using Asking = StateOf<OpeningState::Asking>;
@@ -53,44 +41,8 @@
       Row<Asking, Occur<OpeningEvent::Accepted>, Placed>,
       Row<Asking, Occur<OpeningEvent::NotAccepted>, Choosing>> {};
   // clang-format on
-
-  template <typename Machine, typename EventType>
-  void no_transition(const EventType & /*Event*/, Machine & /*Owner*/,
-                     int /*State*/) {}
-
-  OpeningState Current = OpeningState::Unanswered;
 };
 
-using OpeningMachine = msm::back::state_machine<OpeningDefinition>;
-using Successors = std::array<OpeningState, OpeningEventCount>;
-
-template <OpeningState From, OpeningEvent Event> OpeningState successor() {
-  OpeningMachine Machine;
-  Machine.start();
-  Machine.process_event(Enter<From>{});
-  Machine.process_event(Occur<Event>{});
-  return Machine.Current;
-}
-
-template <OpeningState From> Successors successors() {
-  return {successor<From, OpeningEvent::QueriesDone>(),
-          successor<From, OpeningEvent::Asked>(),
-          successor<From, OpeningEvent::Accepted>(),
-          successor<From, OpeningEvent::NotAccepted>(),
-          successor<From, OpeningEvent::AllDeclined>(),
-          successor<From, OpeningEvent::OneSilent>()};
-}
-
-/// Runs the machine once for each state and event, see flow.cc.
-std::array<Successors, OpeningStateCount> makeTransitions() {
-  return {successors<OpeningState::Querying>(),
-          successors<OpeningState::Choosing>(),
-          successors<OpeningState::Asking>(),
-          successors<OpeningState::Placed>(),
-          successors<OpeningState::Refused>(),
-          successors<OpeningState::Unanswered>()};
-}
-
 void advance(OpeningState &State, OpeningEvent Event) {
   State = nextOpeningState(State, Event);
 }
@@ -98,8 +50,10 @@
 } // namespace
 
 OpeningState nextOpeningState(OpeningState State, OpeningEvent Event) {
-  static const std::array<Successors, OpeningStateCount> Transitions =
-      makeTransitions();
+  static const auto Transitions =
+      detail::makeTransitions<OpeningDefinition, OpeningState,
+                              OpeningStateCount, OpeningEvent,
+                              OpeningEventCount>();
   return Transitions[static_cast<std::size_t>(State)]
                     [static_cast<std::size_t>(Event)];
 }
