Keep protobuf's own log lines off standard error

Cause: a document exchange message whose string is not UTF-8 made protobuf write a plain-text line on standard error, where only JSON lines belong.

Change: exchange.cc removes protobuf's log handler before it uses a message; datagrams have no strings. The error stays a typed MalformedMessage.

Conclusion: invalid UTF-8 from a neighbour writes nothing past the log.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <google/protobuf/stubs/logging.h>
 #include <optional>
 
 #include "mulberryhoist.pb.h"
@@ -95,6 +96,14 @@
   return Message;
 }
 
+/// Stops the log lines of protobuf, which are plain text on standard error. Of
+/// all messages only those of the exchange have strings, about which it writes.
+void silenceProtobuf() {
+  // The call is not safe for threads, the initialisation of a static is.
+  [[maybe_unused]] static auto *const Previous =
+      google::protobuf::SetLogHandler(nullptr);
+}
+
 tl::unexpected<Error> malformed(std::string_view Problem) {
   return makeError(ErrorKind::MalformedMessage,
                    fmt::format("document exchange: {}", Problem));
@@ -107,6 +116,7 @@
 }
 
 std::string encodeExchange(const ExchangeMessage &Message) {
+  silenceProtobuf();
   proto::Exchange Encoded;
   std::visit([&Encoded](const auto &Body) { encodeBody(Body, Encoded); },
              Message);
@@ -119,6 +129,7 @@
                      fmt::format("document exchange: {} bytes is more than {}",
                                  Bytes.size(), MaxExchangeBytes));
   }
+  silenceProtobuf();
   proto::Exchange Decoded;
   if (!Decoded.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
     return malformed("not a message");
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -52,6 +52,20 @@
   EXPECT_EQ(std::get<DigestMessage>(*Decoded).Age, NeverConfirmed);
 }
 
+// Guards against lines on standard error that are not JSON: protobuf writes
+// its own about a string that is not UTF-8.
+TEST(ExchangeTest, InvalidUtf8IsATypedErrorWithoutOutput) {
+  std::string Encoded = encodeExchange(DigestMessage{});
+  const std::size_t Name = Encoded.find("table");
+  ASSERT_NE(Name, std::string::npos);
+  Encoded[Name] = '\xFF';
+  testing::internal::CaptureStderr();
+  const auto Decoded = decodeExchange(bytesOf(Encoded));
+  EXPECT_EQ(testing::internal::GetCapturedStderr(), "");
+  ASSERT_FALSE(Decoded);
+  EXPECT_EQ(Decoded.error().Kind, ErrorKind::MalformedMessage);
+}
+
 TEST(ExchangeTest, OversizedAndEmptyMessagesAreTypedErrors) {
   const std::string Large(MaxExchangeBytes + 1, 'x');
   EXPECT_EQ(decodeExchange(bytesOf(Large)).error().Kind,
