--- a/include/mulberryhoist/process.h
+++ b/include/mulberryhoist/process.h
@@ -44,7 +44,7 @@
     .Name = "admin",
     .Type = SettingType::Endpoint,
     .Help = "Where the administration API is served (HTTP)",
-    .Required = true};
+    .Default = "127.0.0.1:9180"};
 inline constexpr SettingSpec PlatformSpec = {
     .Name = "platform",
     .Type = SettingType::Endpoint,
@@ -141,7 +141,8 @@
 /// Writes a state dump to the log.
 void logStateDump(std::string_view Dump);
 
-/// Waits for SIGTERM; a request for a state dump is answered with `Dump`.
+/// Waits for SIGTERM; a request for a state dump is answered with what
+/// `MakeDump` returns.
 template <std::invocable Dump> void waitForStop(const Dump &MakeDump) {
   std::optional<SignalRequest> Request;
   while (Request != SignalRequest::Stop) {
