--- a/src/process.cc
+++ b/src/process.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "mulberryhoist/replication.h"
+
 namespace mulberryhoist {
 namespace {
 
@@ -49,6 +51,13 @@
           {"connections", Each.Connections}};
 }
 
+/// The age of the last confirmed read; null before there was one.
+Json ageJson(const DocumentStatus &Status) {
+  return Status.SinceConfirmed >= NeverConfirmed
+             ? Json()
+             : Json(toMilliseconds(Status.SinceConfirmed));
+}
+
 } // namespace
 
 Result<ProcessSettings> readProcessSettings(const Settings &Parsed,
@@ -109,7 +118,7 @@
 }
 
 Json documentsJson(const DocumentStatus &Status) {
-  return {{"confirmed_age_ms", toMilliseconds(Status.SinceConfirmed)},
+  return {{"confirmed_age_ms", ageJson(Status)},
           {"reader", Status.Reader},
           {"platform_reachable", Status.PlatformReachable},
           {"platform_calls", Status.PlatformCalls},
@@ -171,7 +180,7 @@
                      {"product_version", ProductVersion},
                      {"table", versionJson(InForce)},
                      {"digest", digestJson(InForce)},
-                     {"age_ms", toMilliseconds(Status.SinceConfirmed)},
+                     {"age_ms", ageJson(Status)},
                      {"reader", Status.Reader},
                      {"platform_reachable", Status.PlatformReachable}});
 }
--- a/test/agent-process-test.cc
+++ b/test/agent-process-test.cc
@@ -108,6 +108,7 @@
   const PathRow Rows[] = {
       {"/health", 503, "no table in force"},
       {"/version", 200, "\"name\":\"u1\""},
+      {"/version", 200, "\"age_ms\":null"},
       {"/table", 503, "no_table"},
       {"/explain?caller=1.2.3.4:5&service=1.2.3.4:6", 503, "no_table"},
       {"/explain?caller=x", 400, "parameter caller"},
