--- a/include/mulberryhoist/process.h
+++ b/include/mulberryhoist/process.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <concepts>
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -107,12 +108,16 @@
 /// The answer 400 `bad_request`.
 AdminAnswer badRequestAnswer(std::string_view Detail);
 
-/// The answer of `/version`.
-AdminAnswer versionAnswer(const ProcessIdentity &Process, const Table *InForce,
-                          const DocumentStatus &Status);
+/// Adds `/version` and `/table`; `InForce` returns the table in force or null.
+/// The feed and the texts of the identity must outlive the server.
+void handleTablePaths(AdminServer &Admin, ProcessIdentity Process,
+                      const DocumentFeed &Feed,
+                      std::function<std::shared_ptr<const Table>()> InForce);
 
-/// The answer of `/table`.
-AdminAnswer tableAnswer(const Table *InForce);
+/// The duties of a process, which must outlive them.
+std::vector<Duty> makeDuties(DocumentFeed &Feed, AdminServer &Admin,
+                             decltype(Duty::Run) Data,
+                             decltype(Duty::Run) Report);
 
 /// The flow that the query of `/explain` names.
 Result<FlowKey> readFlowQuery(const AdminQuery &Query);
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -181,30 +181,18 @@
 }
 
 std::vector<Duty> BalancerProcess::duties() {
-  std::vector<Duty> List = this->Feed.duties();
-  List.push_back({"data", [this](const std::stop_token &Stop) {
-                    return this->Data->run(Stop);
-                  }});
-  List.push_back({"admin", [this](const std::stop_token &Stop) {
-                    return this->Admin.run(Stop);
-                  }});
-  List.push_back({"report", [this](const std::stop_token &Stop) {
-                    return this->reportUntil(Stop);
-                  }});
-  return List;
+  return makeDuties(
+      this->Feed, this->Admin,
+      [this](const std::stop_token &Stop) { return this->Data->run(Stop); },
+      [this](const std::stop_token &Stop) { return this->reportUntil(Stop); });
 }
 
 void BalancerProcess::handlePaths() {
   this->Admin.serveMetrics(this->Registry);
   this->Admin.handle(
       "/health", [this](const AdminQuery &) { return this->answerHealth(); });
-  this->Admin.handle("/version", [this](const AdminQuery &) {
-    return versionAnswer(this->identity(), this->Data->view()->InForce.get(),
-                         this->Feed.status());
-  });
-  this->Admin.handle("/table", [this](const AdminQuery &) {
-    return tableAnswer(this->Data->view()->InForce.get());
-  });
+  handleTablePaths(this->Admin, this->identity(), this->Feed,
+                   [this] { return this->Data->view()->InForce; });
   this->Admin.handle("/explain", [this](const AdminQuery &Query) {
     return this->answerExplain(Query);
   });
--- a/src/process.cc
+++ b/src/process.cc
@@ -58,6 +58,36 @@
              : Json(toMilliseconds(Status.SinceConfirmed));
 }
 
+AdminAnswer versionAnswer(const ProcessIdentity &Process, const Table *InForce,
+                          const DocumentStatus &Status) {
+  return jsonAnswer({{"process", Process.Program},
+                     {"name", Process.Name},
+                     {"product_version", ProductVersion},
+                     {"table", versionJson(InForce)},
+                     {"digest", digestJson(InForce)},
+                     {"age_ms", ageJson(Status)},
+                     {"reader", Status.Reader},
+                     {"platform_reachable", Status.PlatformReachable}});
+}
+
+AdminAnswer tableAnswer(const Table *InForce) {
+  if (InForce == nullptr) {
+    return noTableAnswer();
+  }
+  Json Services = Json::array();
+  for (const Service &Each : InForce->services()) {
+    Services.push_back(serviceJson(*InForce, Each));
+  }
+  Json Upstreams = Json::array();
+  for (const Upstream &Each : InForce->upstreams()) {
+    Upstreams.push_back(upstreamJson(Each));
+  }
+  return jsonAnswer({{"table", versionJson(InForce)},
+                     {"digest", digestJson(InForce)},
+                     {"services", std::move(Services)},
+                     {"upstreams", std::move(Upstreams)}});
+}
+
 } // namespace
 
 Result<ProcessSettings> readProcessSettings(const Settings &Parsed,
@@ -173,34 +203,27 @@
                     StatusBadRequest);
 }
 
-AdminAnswer versionAnswer(const ProcessIdentity &Process, const Table *InForce,
-                          const DocumentStatus &Status) {
-  return jsonAnswer({{"process", Process.Program},
-                     {"name", Process.Name},
-                     {"product_version", ProductVersion},
-                     {"table", versionJson(InForce)},
-                     {"digest", digestJson(InForce)},
-                     {"age_ms", ageJson(Status)},
-                     {"reader", Status.Reader},
-                     {"platform_reachable", Status.PlatformReachable}});
+void handleTablePaths(AdminServer &Admin, ProcessIdentity Process,
+                      const DocumentFeed &Feed,
+                      std::function<std::shared_ptr<const Table>()> InForce) {
+  Admin.handle("/version", [Process, &Feed, InForce](const AdminQuery &) {
+    return versionAnswer(Process, InForce().get(), Feed.status());
+  });
+  Admin.handle("/table", [InForce = std::move(InForce)](const AdminQuery &) {
+    return tableAnswer(InForce().get());
+  });
 }
 
-AdminAnswer tableAnswer(const Table *InForce) {
-  if (InForce == nullptr) {
-    return noTableAnswer();
-  }
-  Json Services = Json::array();
-  for (const Service &Each : InForce->services()) {
-    Services.push_back(serviceJson(*InForce, Each));
-  }
-  Json Upstreams = Json::array();
-  for (const Upstream &Each : InForce->upstreams()) {
-    Upstreams.push_back(upstreamJson(Each));
-  }
-  return jsonAnswer({{"table", versionJson(InForce)},
-                     {"digest", digestJson(InForce)},
-                     {"services", std::move(Services)},
-                     {"upstreams", std::move(Upstreams)}});
+std::vector<Duty> makeDuties(DocumentFeed &Feed, AdminServer &Admin,
+                             decltype(Duty::Run) Data,
+                             decltype(Duty::Run) Report) {
+  std::vector<Duty> List = Feed.duties();
+  List.push_back({"data", std::move(Data)});
+  List.push_back({"admin", [&Admin](const std::stop_token &Stop) {
+                    return Admin.run(Stop);
+                  }});
+  List.push_back({"report", std::move(Report)});
+  return List;
 }
 
 Result<FlowKey> readFlowQuery(const AdminQuery &Query) {
