Wait for reads of the old table in the failure test

Cause: the row for old tables went on when any process had ignored an older version. Late messages of neighbours count there too, so the row could end before the configuration service was read.

Change: the row waits for 20 calls to the service after it returns and for a further ignored version.

Before: with the replica's order check removed (a trial), the row passed. After: the same trial fails because the table in force goes back on a process; without the trial the row passes in 8.4 s.

Conclusion: the row detects a replica that accepts an older table.

--- a/test/path-failure-test.cc
+++ b/test/path-failure-test.cc
@@ -485,9 +485,19 @@
   this->Running->setEpoch(1);
   this->publishWeight(60);
   this->Published = InForce;
+  // Neighbours' late messages count as ignored too, so the number alone does
+  // not show that the service was read.
+  const std::uint64_t Ignored = this->documentCount("older_ignored");
+  const auto Calls = [&] {
+    return getJson(Platform, "/test/calls").value("counted", std::uint64_t{0});
+  };
+  constexpr std::uint64_t ReadsOfOld = 20;
+  const std::uint64_t Before = Calls();
   ASSERT_TRUE(post(Platform, "/test/mode?mode=up"));
-  ASSERT_TRUE(this->observeUntil(
-      [&] { return this->documentCount("older_ignored") > 0; }));
+  ASSERT_TRUE(this->observeUntil([&] {
+    return Calls() >= Before + ReadsOfOld &&
+           this->documentCount("older_ignored") > Ignored;
+  }));
   // A process that starts now may be offered the old table first.
   this->Running->site("upstream-1").Agent.Running->kill();
   this->Seen.erase("upstream-1");
