Recover the handshakes of an agent that restarted

Cause: an agent that restarted reset the SYN-ACK that its upstream repeated, so the flow broke although caller and upstream still had it; and a late copy of the opening made a half-open record that hid an established flow from its home, which then never found the owner. Ruled out: adoption (it works once a segment of the upstream is seen). Change: within the restart period a SYN-ACK makes the record again from its own numbers, payload stays gated by the acknowledgment; an acknowledgment of the upstream that shows another state than half-open replaces the record by an adopted one. The row still does not judge survival: restarts of agents are no planned change; docs/proofs.md names what is left.

--- a/include/mulberryhoist/agent.h
+++ b/include/mulberryhoist/agent.h
@@ -323,6 +323,10 @@
                    Instant Now);
   void onUnknownUpstreamPacket(const PacketView &View, PacketBytes Packet,
                                Instant Now, ActionList &Out);
+  void recoverHandshake(const PacketView &SynAck, PacketBytes Packet,
+                        Instant Now, ActionList &Out);
+  /// The service that has an address now, or none.
+  ServiceId listedService(Endpoint Address) const;
   bool isStrayUpstreamPacket(const FlowRecord &Flow,
                              const PacketView &View) const;
   void endFlow(FlowMap::iterator Found, Instant Now, ActionList &Out);
--- a/src/agent-flow.cc
+++ b/src/agent-flow.cc
@@ -91,10 +91,7 @@
     ++this->Counters.StoreFull;
     return false;
   }
-  const Service *Listed =
-      this->InForce ? this->InForce->findService(Input.View.Destination)
-                    : nullptr;
-  const ServiceId Wanted = Listed != nullptr ? Listed->Id : ServiceId{};
+  const ServiceId Wanted = this->listedService(Input.View.Destination);
   FlowRecord &Flow =
       this->Flows.emplace(Key, makeAdoptedRecord(Wanted, Now)).first->second;
   Flow.ProbationEnd = Now + AdoptTimeout;
@@ -347,6 +344,13 @@
   }
   const bool OfEarlierFlow =
       Flow.State == FlowState::HalfOpen && !View->Flags.Syn && !View->Flags.Rst;
+  if (OfEarlierFlow && this->restartedRecently(Now)) {
+    // The upstream has a connection whose record was lost; the opening was a
+    // late copy, or the caller resets the connection and opens again.
+    this->endFlow(Found, Now, Out);
+    this->onUnknownUpstreamPacket(*View, Packet, Now, Out);
+    return;
+  }
   if (OfEarlierFlow) {
     // A challenge: a caller that opens anew answers it with a reset.
     Out.push_back(SendToCaller{Packet});
@@ -375,7 +379,12 @@
     // if no agent has the flow.
     return;
   }
+  const bool HasRoom = this->Flows.size() < this->Settings.Capacity.Flows;
   if (View.Flags.Syn) {
+    if (this->restartedRecently(Now) && View.Flags.Ack && HasRoom) {
+      this->recoverHandshake(View, Packet, Now, Out);
+      return;
+    }
     // No owner would release payload to this half-open connection.
     Out.push_back(
         ResetUpstream{makeReset(Key.Caller, Key.Service, View.Acknowledgment)});
@@ -386,12 +395,10 @@
   // ended; after a restart every segment may belong to a lost record.
   const bool IsAlive = !View.Payload.empty() ||
                        (this->restartedRecently(Now) && !View.Flags.Fin);
-  if (!IsAlive || this->Flows.size() >= this->Settings.Capacity.Flows) {
+  if (!IsAlive || !HasRoom) {
     return;
   }
-  const Service *Listed =
-      this->InForce ? this->InForce->findService(Key.Service) : nullptr;
-  const ServiceId Wanted = Listed != nullptr ? Listed->Id : ServiceId{};
+  const ServiceId Wanted = this->listedService(Key.Service);
   FlowRecord &Flow =
       this->Flows.emplace(Key, makeAdoptedRecord(Wanted, Now)).first->second;
   this->Admitted.addConnection(Wanted);
@@ -399,6 +406,33 @@
   recordUpstreamPacket(Flow, View, Now);
 }
 
+void AgentLogic::recoverHandshake(const PacketView &SynAck, PacketBytes Packet,
+                                  Instant Now, ActionList &Out) {
+  const FlowKey Key = SynAck.upstreamFlow();
+  // The SYN-ACK tells all that the lost record held of the opening.
+  PacketView Opening;
+  Opening.Source = Key.Caller;
+  Opening.Destination = Key.Service;
+  Opening.Sequence = SynAck.Acknowledgment - 1;
+  Opening.Flags.Syn = true;
+  const ServiceId Wanted = this->listedService(Key.Service);
+  FlowRecord &Flow =
+      this->Flows.emplace(Key, makeOpeningRecord(Opening, Wanted, Now))
+          .first->second;
+  this->Admitted.addConnection(Wanted);
+  ++this->Counters.Adopted;
+  Flow.State = nextFlowState(Flow.State, FlowEvent::SlotGranted);
+  this->setWorking(Flow, true, Now);
+  recordUpstreamPacket(Flow, SynAck, Now);
+  Out.push_back(SendToCaller{Packet});
+}
+
+ServiceId AgentLogic::listedService(Endpoint Address) const {
+  const Service *Listed =
+      this->InForce ? this->InForce->findService(Address) : nullptr;
+  return Listed != nullptr ? Listed->Id : ServiceId{};
+}
+
 bool AgentLogic::isStrayUpstreamPacket(const FlowRecord &Flow,
                                        const PacketView &View) const {
   const bool Answers = View.Flags.Ack && View.Acknowledgment == Flow.CallerNext;
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -404,6 +404,50 @@
   EXPECT_FALSE(Test.sent<Forward>()[0].Adopt);
 }
 
+struct HandshakeRow {
+  const char *Name;
+  Duration Age;
+  std::uint32_t Acknowledgment;
+  std::size_t Resets;
+  std::size_t Delivered;
+};
+
+class HandshakeTest : public testing::TestWithParam<HandshakeRow> {};
+
+// Guards against a flow that breaks because its agent restarted during the
+// handshake, and against payload for a half-open copy that the caller never
+// acknowledged.
+TEST_P(HandshakeTest, RestartedAgentRecoversItFromTheSynAck) {
+  Harness Test(GetParam().Age);
+  Test.fromUpstream({"SA", Harness::UpstreamIsn, Isn + 1});
+  EXPECT_EQ(Test.count<ResetUpstream>(), GetParam().Resets);
+  EXPECT_EQ(Test.count<SendToCaller>(), 1 - GetParam().Resets);
+  Test.fromCaller({"AP", Isn + 1, GetParam().Acknowledgment, "x"}, true);
+  EXPECT_EQ(Test.count<DeliverToUpstream>(), GetParam().Delivered);
+  EXPECT_EQ(Test.sent<NotOwner>().size(), 1 - GetParam().Delivered);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, HandshakeTest,
+    testing::Values(
+        HandshakeRow{"restarted", seconds(1), Harness::UpstreamIsn + 1, 0, 1},
+        HandshakeRow{"other_copy", seconds(1), Harness::UpstreamIsn + 9, 0, 0},
+        HandshakeRow{"not_restarted", RestartPeriod, Harness::UpstreamIsn + 1,
+                     1, 0}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a late copy of the opening that hides an established flow
+// from its home after the agent restarted.
+TEST(AgentTest, RestartedAgentFindsTheFlowBehindALateOpening) {
+  Harness Test(seconds(1));
+  Test.fromCaller({"S", Isn}, true);
+  Test.fromUpstream({"A", Harness::UpstreamIsn + 1, Isn + 8});
+  EXPECT_EQ(Test.count<SendToCaller>(), 1U);
+  Test.fromPeer(Locate{Test.Key, Isn + 8, Harness::UpstreamIsn + 1});
+  ASSERT_EQ(Test.sent<LocateReply>().size(), 1U);
+  EXPECT_EQ(Test.sent<LocateReply>()[0].Answer, OwnerAnswer::Owns);
+}
+
 struct AdoptRow {
   const char *Name;
   TestPacket Answer;
--- a/test/interleaving-test.cc
+++ b/test/interleaving-test.cc
@@ -692,14 +692,14 @@
 
 INSTANTIATE_TEST_SUITE_P(
     AtMostOnce, InterleavingTest,
-    testing::Values(
-        Row{"upstream_dies_after_payload", upstreamDiesAfterPayload,
-            Flows::MayBreak},
-        Row{"agent_restarts_empty", agentRestartsEmpty},
-        // A flow whose handshake had not reached its upstream may break.
-        Row{"agent_restarts_and_caller_retransmits",
-            agentRestartsAndCallerRetransmits, Flows::MayBreak},
-        Row{"agent_wakes_after_pause", agentWakesAfterPause}),
+    testing::Values(Row{"upstream_dies_after_payload", upstreamDiesAfterPayload,
+                        Flows::MayBreak},
+                    Row{"agent_restarts_empty", agentRestartsEmpty},
+                    // Every agent restarts again and again with a fifth of the
+                    // datagrams lost: a flow may break (docs/proofs.md).
+                    Row{"agent_restarts_and_caller_retransmits",
+                        agentRestartsAndCallerRetransmits, Flows::MayBreak},
+                    Row{"agent_wakes_after_pause", agentWakesAfterPause}),
     [](const auto &Info) { return Info.param.Name; });
 
 INSTANTIATE_TEST_SUITE_P(
