Use one source of documents for both data duties

Cause: AgentDocuments and DocumentSource were the same struct. Change: DocumentSource stands in documents.h, beside the feed that fills it. Tested: the data and process tests of both programs pass. Conclusion: no change of behaviour.

--- a/include/mulberryhoist/agent-data.h
+++ b/include/mulberryhoist/agent-data.h
@@ -7,7 +7,6 @@
 
 #include <array>
 #include <atomic>
-#include <functional>
 #include <future>
 #include <memory>
 #include <stop_token>
@@ -15,7 +14,7 @@
 
 #include "mulberryhoist/agent.h"
 #include "mulberryhoist/datagram.h"
-#include "mulberryhoist/membership.h"
+#include "mulberryhoist/documents.h"
 #include "mulberryhoist/ring.h"
 #include "mulberryhoist/timer.h"
 
@@ -35,12 +34,6 @@
   AgentSettings Logic;
 };
 
-/// Where the data duty gets the documents; called from its thread each turn.
-struct AgentDocuments {
-  std::function<std::shared_ptr<const Table>()> GetTable;
-  std::function<std::shared_ptr<const VmList>()> GetVms;
-};
-
 /// What the data duty shows to other threads; immutable.
 struct AgentView {
   /// The table in force, or null.
@@ -62,7 +55,7 @@
 public:
   /// Binds the sockets, so that a wrong address is reported at start.
   static Result<std::unique_ptr<AgentData>> create(AgentDataSettings Settings,
-                                                   AgentDocuments Documents);
+                                                   DocumentSource Documents);
 
   /// Serves the sockets until it is asked to stop; each run begins with fresh
   /// logic, while the sockets stay bound.
@@ -99,11 +92,11 @@
 
   static constexpr std::size_t QuestionRingCapacity = 16;
 
-  AgentData(AgentDataSettings Settings, AgentDocuments Documents,
+  AgentData(AgentDataSettings Settings, DocumentSource Documents,
             DatagramSocket Socket, DatagramSocket UpstreamSocket);
 
   AgentDataSettings Settings;
-  AgentDocuments Documents;
+  DocumentSource Documents;
   DatagramSocket Socket;
   DatagramSocket UpstreamSocket;
   AgentDataCounters Counters;
--- a/include/mulberryhoist/balancer-data.h
+++ b/include/mulberryhoist/balancer-data.h
@@ -7,13 +7,13 @@
 
 #include <atomic>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <vector>
 
 #include "mulberryhoist/admin.h"
 #include "mulberryhoist/balancer.h"
 #include "mulberryhoist/datagram.h"
+#include "mulberryhoist/documents.h"
 #include "mulberryhoist/metrics.h"
 #include "mulberryhoist/ring.h"
 #include "mulberryhoist/supervisor.h"
@@ -38,12 +38,6 @@
   DocumentMetrics Documents;
 };
 
-/// Where the data duty gets the documents; called from its thread each turn.
-struct DocumentSource {
-  std::function<std::shared_ptr<const Table>()> GetTable;
-  std::function<std::shared_ptr<const VmList>()> GetVms;
-};
-
 /// What the data duty shows to other threads; immutable.
 struct BalancerView {
   /// The table in force, or null.
--- a/include/mulberryhoist/documents.h
+++ b/include/mulberryhoist/documents.h
@@ -5,6 +5,7 @@
 #ifndef MULBERRYHOIST_DOCUMENTS_H
 #define MULBERRYHOIST_DOCUMENTS_H
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +51,12 @@
   std::string LastProblem;
 };
 
+/// Where a data duty gets the documents; called from its thread each turn.
+struct DocumentSource {
+  std::function<std::shared_ptr<const Table>()> GetTable;
+  std::function<std::shared_ptr<const VmList>()> GetVms;
+};
+
 /// Keeps the documents up to date on its own threads; the getters may be called
 /// from any thread.
 class DocumentFeed {
--- a/src/agent-data.cc
+++ b/src/agent-data.cc
@@ -217,14 +217,14 @@
   std::shared_ptr<const VmList> SeenVms;
 };
 
-AgentData::AgentData(AgentDataSettings Settings, AgentDocuments Documents,
+AgentData::AgentData(AgentDataSettings Settings, DocumentSource Documents,
                      DatagramSocket Socket, DatagramSocket UpstreamSocket)
     : Settings(std::move(Settings)), Documents(std::move(Documents)),
       Socket(std::move(Socket)), UpstreamSocket(std::move(UpstreamSocket)),
       Shown(std::make_shared<const AgentView>()) {}
 
 Result<std::unique_ptr<AgentData>> AgentData::create(AgentDataSettings Settings,
-                                                     AgentDocuments Documents) {
+                                                     DocumentSource Documents) {
   auto Socket = DatagramSocket::create(Settings.Listen);
   if (!Socket) {
     return tl::unexpected<Error>(std::move(Socket.error()));
