Explain where packets of established flows go

Cause: /explain and mulberryctl showed the home of new flows only; with a suspected home, packets of established flows go to another member of the locate group. Change: FlowExplanation::OldFlowsHome, key old_flows_upstream. Conclusion: the explanation comes from the code that makes the choice.

--- a/include/mulberryhoist/balancer.h
+++ b/include/mulberryhoist/balancer.h
@@ -41,6 +41,9 @@
   std::optional<ServiceId> Service;
   /// Where packets of the flow go; none if they are dropped.
   std::optional<UpstreamId> Home;
+  /// Where packets of an established flow go; differs from `Home` while that is
+  /// suspected.
+  std::optional<UpstreamId> OldFlowsHome;
   /// True if every candidate is excluded, so that exclusion is ignored.
   bool FailOpen = false;
   /// True if no upstream of the address takes new work: the candidates are
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -93,6 +93,9 @@
       {"service_name", Owner == nullptr ? Json() : Json(Owner->Name)},
       {"table", versionJson(&InForce)},
       {"upstream", Why.Home ? Json(upstreamName(InForce, *Why.Home)) : Json()},
+      {"old_flows_upstream",
+       Why.OldFlowsHome ? Json(upstreamName(InForce, *Why.OldFlowsHome))
+                        : Json()},
       {"reason", reasonText(Why)},
       {"candidates", std::move(Candidates)}};
 }
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -126,6 +126,8 @@
     Answer.Service = From.Owner->Id;
   }
   Answer.Home = homeOf(From, Key, Agents);
+  std::vector<Assignment> OtherRows;
+  Answer.OldFlowsHome = homeOfOld(InForce, Key, From, Agents, OtherRows);
   Answer.OldFlowsOnly = From.OldFlowsOnly;
   const std::uint64_t FlowHash = hashFlow(Key);
   for (const Assignment &Row : From.Rows) {
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -348,6 +348,13 @@
   const auto Opened = Run.forward(makePacket(1, Photos, Tins::TCP::SYN));
   ASSERT_TRUE(Opened);
   EXPECT_EQ(std::get<Forward>(Opened->Body).Home, upstreamAt(2));
+  // The explanation names both homes.
+  const auto Why =
+      explainFlow(*Run.Logic.table(), Run.Logic.suspicion().agents(),
+                  {{Loopback | 9U, 1}, Photos});
+  EXPECT_EQ(Why.Home, upstreamAt(2));
+  ASSERT_TRUE(Why.OldFlowsHome);
+  EXPECT_NE(*Why.OldFlowsHome, upstreamAt(2));
 }
 
 // Guards against a table that reverts (G8).
