Keep the name rule and the version order in one place

Cause: the rule for names stood word for word in table, settings, membership and agent process; the order of versions stood in balancer and agent. Change: isName and isOlder are in types.h; the six copies are gone.

--- a/include/mulberryhoist/agent.h
+++ b/include/mulberryhoist/agent.h
@@ -66,14 +66,6 @@
 /// their denials only count after this time.
 inline constexpr Duration TableSpreadBound = std::chrono::seconds(9);
 
-namespace detail {
-
-/// True if version A comes before B. clang-tidy 14 reports errors inside the
-/// defaulted comparison of versions wherever it is used.
-bool isOlder(const TableVersion &A, const TableVersion &B);
-
-} // namespace detail
-
 /// The sizes of the bounded stores.
 struct AgentCapacity {
   std::size_t Flows = 65'536;
--- a/include/mulberryhoist/types.h
+++ b/include/mulberryhoist/types.h
@@ -68,6 +68,10 @@
 struct UpstreamTag;
 struct ServiceTag;
 
+/// True for a name as the table and the settings allow it:
+/// `[a-z0-9-]{1,63}`.
+bool isName(std::string_view Text);
+
 /// Identifies an upstream: the hash of its name in the table.
 using UpstreamId = NameId<UpstreamTag>;
 
@@ -89,6 +93,10 @@
                           const DocumentVersion &) = default;
 };
 
+/// True if version A comes before B. clang-tidy 14 reports errors inside the
+/// defaulted comparison wherever it is used.
+bool isOlder(const DocumentVersion &A, const DocumentVersion &B);
+
 /// The version of a table.
 using TableVersion = DocumentVersion;
 
--- a/src/agent-flow.cc
+++ b/src/agent-flow.cc
@@ -161,8 +161,8 @@
   const bool IsListed = !this->Ordered.empty();
   std::erase(this->Ordered, this->Settings.Self);
   // A balancer with a newer table may know members that this home does not.
-  const bool Complete = IsListed && !detail::isOlder(this->InForce->version(),
-                                                     Input.Header.Table);
+  const bool Complete =
+      IsListed && !isOlder(this->InForce->version(), Input.Header.Table);
   const bool SelfMaybe =
       this->restartedRecently(Now) && !this->Flows.contains(Key);
   const PacketNumbers Numbers = numbersOf(Input.View);
--- a/src/agent-process.cc
+++ b/src/agent-process.cc
@@ -67,15 +67,6 @@
      .Max = 86'400},
 };
 
-bool isName(std::string_view Text) {
-  constexpr std::size_t MaxName = 63;
-  return !Text.empty() && Text.size() <= MaxName &&
-         std::all_of(Text.begin(), Text.end(), [](char Letter) {
-           return (Letter >= 'a' && Letter <= 'z') ||
-                  (Letter >= '0' && Letter <= '9') || Letter == '-';
-         });
-}
-
 Result<std::vector<std::string>> readServices(std::string_view Text) {
   std::vector<std::string> Names;
   for (;;) {
--- a/src/agent.cc
+++ b/src/agent.cc
@@ -28,10 +28,6 @@
 
 } // namespace
 
-bool detail::isOlder(const TableVersion &A, const TableVersion &B) {
-  return A.Epoch != B.Epoch ? A.Epoch < B.Epoch : A.Revision < B.Revision;
-}
-
 std::string_view endReasonName(EndReason Reason) {
   constexpr std::array<std::string_view, EndReasonCount> Names = {
       "silent", "idle", "gone", "half_open", "cut"};
@@ -97,8 +93,8 @@
 void AgentLogic::onTable(std::shared_ptr<const Table> Next, Instant Now,
                          ActionList &Out) {
   this->beginEvent();
-  if (!Next || (this->InForce &&
-                detail::isOlder(Next->version(), this->InForce->version()))) {
+  if (!Next ||
+      (this->InForce && isOlder(Next->version(), this->InForce->version()))) {
     Out.push_back(ReportError{ErrorKind::OlderTable});
     return;
   }
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <tuple>
 
 #include "mulberryhoist/routing.h"
 
@@ -100,11 +99,6 @@
   return Other && !IsSuspected(*Other) ? Other : Home;
 }
 
-/// Written out because clang-tidy 14 reports the use of the defaulted operator.
-bool isOlder(const TableVersion &A, const TableVersion &B) {
-  return std::tie(A.Epoch, A.Revision) < std::tie(B.Epoch, B.Revision);
-}
-
 bool contains(std::span<const UpstreamId> Ids, UpstreamId Id) {
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t ColumnCount = 6;
-constexpr std::size_t MaxNameLength = 63;
 constexpr std::size_t NeighboursInZone = 4;
 constexpr std::size_t NeighboursInOtherZones = 2;
 constexpr std::size_t NeighboursInOtherRegions = 1;
@@ -34,14 +33,6 @@
                                Line, ColumnNames[Column], Shown));
 }
 
-bool isName(std::string_view Text) {
-  return !Text.empty() && Text.size() <= MaxNameLength &&
-         std::all_of(Text.begin(), Text.end(), [](char Letter) {
-           return (Letter >= 'a' && Letter <= 'z') ||
-                  (Letter >= '0' && Letter <= '9') || Letter == '-';
-         });
-}
-
 Result<Cells> splitLine(std::string_view Line, std::size_t Number) {
   Cells Found;
   for (std::size_t I = 0; I < ColumnCount; ++I) {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -14,8 +14,6 @@
 namespace mulberryhoist {
 namespace {
 
-constexpr std::size_t MaxNameLength = 63;
-
 constexpr std::string_view CheckConfigName = "check-config";
 constexpr std::string_view HelpName = "help";
 constexpr std::string_view VersionName = "version";
@@ -148,13 +146,6 @@
                      allowedValues(Spec));
 }
 
-bool isName(std::string_view Text) {
-  return !Text.empty() && Text.size() <= MaxNameLength &&
-         std::all_of(Text.begin(), Text.end(), [](char C) {
-           return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-';
-         });
-}
-
 std::optional<std::int64_t> parseNumber(std::string_view Text) {
   std::int64_t Value = 0;
   const char *Last = Text.data() + Text.size();
--- a/src/table.cc
+++ b/src/table.cc
@@ -24,7 +24,6 @@
 namespace {
 
 constexpr std::size_t ColumnCount = 10;
-constexpr std::size_t MaxNameLength = 63;
 constexpr std::uint32_t MaxClass = 7;
 constexpr std::uint32_t MaxShare = 1000;
 constexpr std::uint32_t MaxWeight = 1000;
@@ -176,14 +175,6 @@
       fmt::format("does not have {} well-formed cells", ColumnCount));
 }
 
-bool isName(std::string_view Text) {
-  return !Text.empty() && Text.size() <= MaxNameLength &&
-         std::all_of(Text.begin(), Text.end(), [](char Letter) {
-           return (Letter >= 'a' && Letter <= 'z') ||
-                  (Letter >= '0' && Letter <= '9') || Letter == '-';
-         });
-}
-
 std::optional<std::uint32_t> readNumber(std::string_view Text) {
   std::uint32_t Value = 0;
   const char *Last = Text.data() + Text.size();
--- a/src/types.cc
+++ b/src/types.cc
@@ -1,5 +1,6 @@
 #include "mulberryhoist/types.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <fmt/format.h>
@@ -69,6 +70,19 @@
       (Value.Address >> 8U) & 0xFFU, Value.Address & 0xFFU, Value.Port);
 }
 
+bool isName(std::string_view Text) {
+  constexpr std::size_t MaxNameLength = 63;
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::all_of(Text.begin(), Text.end(), [](char Letter) {
+           return (Letter >= 'a' && Letter <= 'z') ||
+                  (Letter >= '0' && Letter <= '9') || Letter == '-';
+         });
+}
+
+bool isOlder(const DocumentVersion &A, const DocumentVersion &B) {
+  return A.Epoch != B.Epoch ? A.Epoch < B.Epoch : A.Revision < B.Revision;
+}
+
 UpstreamId upstreamId(std::string_view Name) { return {hashName(Name)}; }
 
 ServiceId serviceId(std::string_view Name) { return {hashName(Name)}; }
