--- a/include/mulberryhoist/datagram.h
+++ b/include/mulberryhoist/datagram.h
@@ -36,6 +36,11 @@
   /// Waits until a datagram can be received or the time is over.
   void wait(Duration Timeout);
 
+  /// Waits until one of several sockets can be received from or the time is
+  /// over.
+  static void waitAny(std::span<const DatagramSocket *const> Sockets,
+                      Duration Timeout);
+
   /// Sends a datagram; a full send buffer is `RingFull`, another failure
   /// `PeerUnreachable`.
   Result<void> send(Endpoint To, PacketBytes Bytes);
--- a/include/mulberryhoist/error.h
+++ b/include/mulberryhoist/error.h
@@ -26,6 +26,7 @@
   PeerUnreachable,
   ConfigurationUnavailable,
   CallRateExceeded,
+  HistoryLost,
   RefusedNotRun,
   OutcomeUnknown,
   RingFull,
@@ -34,7 +35,7 @@
 };
 
 /// Number of members of `ErrorKind`.
-inline constexpr std::size_t ErrorKindCount = 18;
+inline constexpr std::size_t ErrorKindCount = 19;
 
 /// What the system does towards the sender when an error of a kind occurs.
 enum class ErrorAnswer : std::uint8_t {
--- /dev/null
+++ b/include/mulberryhoist/gate-data.h
@@ -0,0 +1,175 @@
+/// \file
+/// The data duty of an agent on the steered path.
+
+#ifndef MULBERRYHOIST_GATE_DATA_H
+#define MULBERRYHOIST_GATE_DATA_H
+
+#include <atomic>
+#include <memory>
+#include <stop_token>
+
+#include "mulberryhoist/gate.h"
+#include "mulberryhoist/steer-io.h"
+
+namespace mulberryhoist {
+
+/// Where the data duty of an agent sends and receives.
+struct GateDataSettings {
+  /// For messages of balancers and agents.
+  Endpoint Peers;
+  /// For packets of the upstream.
+  Endpoint FromUpstream;
+  Endpoint Upstream;
+  ServiceId Service;
+  /// Where callers receive packets.
+  std::uint16_t CallerPort = 0;
+};
+
+/// The sockets of an agent and the duty that serves them.
+template <PacketFormat Format> class GateData {
+public:
+  /// Binds the sockets; the registry must outlive the object.
+  static Result<std::unique_ptr<GateData>>
+  create(const GateDataSettings &Settings, prometheus::Registry &Metrics) {
+    auto Peers = DatagramSocket::create(Settings.Peers);
+    if (!Peers) {
+      return tl::unexpected<Error>(std::move(Peers.error()));
+    }
+    auto FromUpstream = DatagramSocket::create(Settings.FromUpstream);
+    if (!FromUpstream) {
+      return tl::unexpected<Error>(std::move(FromUpstream.error()));
+    }
+    return std::unique_ptr<GateData>(new GateData(
+        Settings, Metrics, std::move(*Peers), std::move(*FromUpstream)));
+  }
+
+  /// Serves the sockets until it is asked to stop; each run begins with fresh
+  /// logic, while the sockets stay bound.
+  Result<void> run(const std::stop_token &Stop) {
+    GateLogic Logic({this->Service, this->Settings.Peers.Address,
+                     this->Settings.Peers.Port},
+                    now());
+    SteerActionList Out;
+    Out.reserve(SteerActionReserve);
+    while (!Stop.stop_requested()) {
+      const Instant Now = now();
+      this->takeRequests(Logic, Out, Now);
+      const bool IsIdle = this->readUpstream(Logic, Out, Now) &
+                          this->readMessages(Logic, Out, Now);
+      Logic.onTick(Now);
+      if (Logic.isDrained(Now)) {
+        this->Drained = true;
+      }
+      if (IsIdle) {
+        const std::array<const DatagramSocket *, 2> Sockets = {
+            &this->Peers, &this->FromUpstream};
+        DatagramSocket::waitAny(Sockets, LongestWait);
+      }
+    }
+    return {};
+  }
+
+  /// The upstream beside the agent is another one now. For any thread.
+  void setUpstream(ServiceId Next, Endpoint Upstream) {
+    this->Service = Next;
+    this->Upstream = Upstream;
+  }
+
+  /// Begins the drain before the process ends. For any thread.
+  void terminate() { this->Terminating = true; }
+
+  /// True once the process may exit. For any thread.
+  bool isDrained() const { return this->Drained; }
+
+private:
+  GateData(const GateDataSettings &Settings, prometheus::Registry &Metrics,
+           DatagramSocket Peers, DatagramSocket FromUpstream)
+      : Settings(Settings), Errors(Metrics),
+        Decisions(Metrics, "request_seconds",
+                  "Time from a request to the upstream's first answer"),
+        Peers(std::move(Peers)), FromUpstream(std::move(FromUpstream)),
+        Output(this->Peers, Settings.CallerPort, this->Decisions,
+               this->Errors),
+        Service(Settings.Service), Upstream(Settings.Upstream) {}
+
+  void takeRequests(GateLogic &Logic, SteerActionList &Out, Instant Now) {
+    Logic.onService(this->Service);
+    this->Output.Upstream = this->Upstream;
+    if (this->Terminating) {
+      Logic.onTerminate(Now, Out);
+      this->Output.perform(Out, Now);
+    }
+  }
+
+  /// Reads what is waiting, up to a limit; true if nothing is left.
+  bool readUpstream(GateLogic &Logic, SteerActionList &Out, Instant Now) {
+    for (int I = 0; I < DatagramsPerTurn; ++I) {
+      const auto Received = this->FromUpstream.receive();
+      if (!Received) {
+        return true;
+      }
+      const auto Packet = Format::parse(Received->Bytes);
+      if (!Packet) {
+        this->Output.report(Packet.error(), Now);
+        continue;
+      }
+      Logic.onUpstreamPacket(*Packet, Now, Out);
+      this->Output.perform(Out, Now);
+    }
+    return false;
+  }
+
+  bool readMessages(GateLogic &Logic, SteerActionList &Out, Instant Now) {
+    for (int I = 0; I < DatagramsPerTurn; ++I) {
+      const auto Received = this->Peers.receive();
+      if (!Received) {
+        return true;
+      }
+      const auto Decoded = this->Codec.decode(Received->Bytes);
+      if (!Decoded) {
+        this->Output.report(Decoded.error(), Now);
+        continue;
+      }
+      this->takeMessage(Logic, Received->From, *Decoded, Out, Now);
+      this->Output.perform(Out, Now);
+    }
+    return false;
+  }
+
+  void takeMessage(GateLogic &Logic, Endpoint From, const SteerDatagram &Input,
+                   SteerActionList &Out, Instant Now) {
+    if (const auto *Question = std::get_if<Check>(&Input.Body)) {
+      Logic.onCheck(From, *Question, Out);
+      return;
+    }
+    const auto *Header = std::get_if<Steer>(&Input.Body);
+    if (Header == nullptr) {
+      this->Output.report({ErrorKind::MalformedMessage,
+                           "an agent got a message for balancers"},
+                          Now);
+      return;
+    }
+    const auto Packet = Format::parse(Input.Packet);
+    if (!Packet) {
+      this->Output.report(Packet.error(), Now);
+      return;
+    }
+    Logic.onSteer(*Header, *Packet, Now, Out);
+  }
+
+  GateDataSettings Settings;
+  ErrorCounters Errors;
+  DecisionLog Decisions;
+  DatagramSocket Peers;
+  DatagramSocket FromUpstream;
+  SteerOutput<Format> Output;
+  SteerCodec Codec;
+  std::atomic<ServiceId> Service;
+  std::atomic<Endpoint> Upstream;
+  std::atomic<bool> Terminating{false};
+  std::atomic<bool> Drained{false};
+};
+
+} // namespace mulberryhoist
+
+#endif // MULBERRYHOIST_GATE_DATA_H
--- a/include/mulberryhoist/log.h
+++ b/include/mulberryhoist/log.h
@@ -1,5 +1,5 @@
 /// \file
-/// Structured logs: one JSON object a line on standard error.
+/// Structured logs: one JSON object a line on standard output.
 
 #ifndef MULBERRYHOIST_LOG_H
 #define MULBERRYHOIST_LOG_H
@@ -25,6 +25,20 @@
 /// Sets the process name of every line and the lowest level that is written.
 void setUpLog(std::string_view Process, LogLevel Lowest);
 
+/// Writes lines on a thread of its own while it exists, so that a slow reader
+/// of the log never holds up another thread. Lines beyond `MaxWaitingLogBytes`
+/// are dropped and counted.
+class LogWriter {
+public:
+  LogWriter();
+  LogWriter(const LogWriter &) = delete;
+  LogWriter &operator=(const LogWriter &) = delete;
+  ~LogWriter();
+};
+
+/// Bounds the memory of lines that wait for a slow reader of the log.
+inline constexpr std::size_t MaxWaitingLogBytes = std::size_t{256} * 1024;
+
 /// Writes one line; safe to call from any thread.
 ///
 ///     log(LogLevel::Info, "table in force", {{"revision", 42}});
--- a/include/mulberryhoist/platform.h
+++ b/include/mulberryhoist/platform.h
@@ -6,13 +6,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <stop_token>
 #include <string>
 #include <string_view>
 
 #include "mulberryhoist/error.h"
+#include "mulberryhoist/http-session.h"
 #include "mulberryhoist/types.h"
 
 namespace mulberryhoist {
@@ -45,33 +45,21 @@
   std::string Body;
 };
 
-/// What a client has counted.
-struct PlatformCounters {
-  std::uint64_t Calls = 0;
-  std::uint64_t BytesSent = 0;
-  std::uint64_t BytesReceived = 0;
-};
-
 /// A client with one connection that it keeps open; for one thread.
 class PlatformClient {
 public:
   explicit PlatformClient(Endpoint Service);
 
-  PlatformClient(PlatformClient &&) noexcept;
-  PlatformClient &operator=(PlatformClient &&) noexcept;
-  ~PlatformClient();
-
   /// Asks once. The error is `CallRateExceeded` for status 429,
   /// `IncompleteTable` for a body that ends early, `OversizedMessage` for one
   /// that is too large, `MalformedMessage` for an answer that is not
   /// understood, and otherwise `ConfigurationUnavailable`.
   Result<PlatformAnswer> ask(const PlatformQuery &Query, std::stop_token Stop);
 
-  const PlatformCounters &counters() const;
+  const HttpCounters &counters() const { return this->Session.counters(); }
 
 private:
-  struct State;
-  std::unique_ptr<State> Impl;
+  HttpSession Session;
 };
 
 } // namespace mulberryhoist
--- a/include/mulberryhoist/process.h
+++ b/include/mulberryhoist/process.h
@@ -201,6 +201,7 @@
   if (!Blocked) {
     return failProgram(Blocked.error());
   }
+  const LogWriter Writer;
   const auto Process = T::create(*Chosen);
   if (!Process) {
     return failProgram(Process.error());
--- a/include/mulberryhoist/signals.h
+++ b/include/mulberryhoist/signals.h
@@ -1,5 +1,6 @@
 /// \file
-/// Signals as requests to the main thread: stop, or dump the state.
+/// Signals as requests to the main thread: stop, dump the state or read
+/// the settings again.
 
 #ifndef MULBERRYHOIST_SIGNALS_H
 #define MULBERRYHOIST_SIGNALS_H
@@ -16,9 +17,10 @@
 enum class SignalRequest : std::uint8_t {
   Stop, ///< SIGTERM or SIGINT.
   Dump, ///< SIGUSR1: write the state dump to the log.
+  Reload, ///< SIGHUP: read the settings again.
 };
 
-/// Blocks SIGTERM, SIGINT and SIGUSR1 in this thread and those that it starts
+/// Blocks SIGTERM, SIGINT, SIGUSR1 and SIGHUP in this thread and those that it starts
 /// later, and ignores SIGPIPE; must be called before any thread is started.
 Result<void> blockSignals();
 
--- a/src/datagram.cc
+++ b/src/datagram.cc
@@ -26,6 +26,9 @@
 /// datagrams than the receive buffer can hold.
 constexpr std::size_t MaxDiscarded = std::size_t{1} << 16U;
 
+/// The most sockets that one thread waits for.
+constexpr std::size_t MaxWaitedSockets = 4;
+
 udp::endpoint toAsio(Endpoint Value) {
   return {asio::ip::address_v4(Value.Address), Value.Port};
 }
@@ -106,14 +109,25 @@
 }
 
 void DatagramSocket::wait(Duration Timeout) {
+  const DatagramSocket *Self = this;
+  waitAny({&Self, 1}, Timeout);
+}
+
+void DatagramSocket::waitAny(std::span<const DatagramSocket *const> Sockets,
+                             Duration Timeout) {
   const Duration Bounded = std::max(Timeout, Duration::zero());
   const auto Seconds =
       std::chrono::duration_cast<std::chrono::seconds>(Bounded);
   const std::chrono::nanoseconds Rest = Bounded - Seconds;
   const timespec Time = {Seconds.count(), Rest.count()};
-  pollfd Entry = {this->Impl->Socket.native_handle(), POLLIN, 0};
+  std::array<pollfd, MaxWaitedSockets> Entries = {};
+  std::size_t Count = 0;
+  for (const DatagramSocket *Each :
+       Sockets.first(std::min(Sockets.size(), MaxWaitedSockets))) {
+    Entries[Count++] = {Each->Impl->Socket.native_handle(), POLLIN, 0};
+  }
   // Every outcome means the same: the caller looks for datagrams again.
-  (void)ppoll(&Entry, 1, &Time, nullptr);
+  (void)ppoll(Entries.data(), Count, &Time, nullptr);
 }
 
 Result<void> DatagramSocket::send(Endpoint To, PacketBytes Bytes) {
--- /dev/null
+++ b/src/decision-log.cc
@@ -0,0 +1,114 @@
+#include "mulberryhoist/decision-log.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+#include "mulberryhoist/log.h"
+
+namespace mulberryhoist {
+namespace {
+
+/// Bounds in seconds around the latency objectives of the services, 150 ms to
+/// 800 ms.
+const prometheus::Histogram::BucketBoundaries LatencyBounds = {
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15,
+    0.2,   0.25,  0.3,   0.5,  0.8,   1.2,  2.5};
+
+std::string flowText(const FlowKey &Flow) {
+  return fmt::format("{}>{}", formatEndpoint(Flow.Caller),
+                     formatEndpoint(Flow.Service));
+}
+
+std::string addressText(std::uint32_t Address) {
+  return fmt::format("{}.{}.{}.{}", Address >> 24U, (Address >> 16U) & 0xFFU,
+                     (Address >> 8U) & 0xFFU, Address & 0xFFU);
+}
+
+prometheus::Histogram &makeHistogram(prometheus::Registry &Metrics,
+                                     const std::string &Name,
+                                     const std::string &Help) {
+  return prometheus::BuildHistogram()
+      .Name("mulberry_" + Name)
+      .Help(Help)
+      .Register(Metrics)
+      .Add({}, LatencyBounds);
+}
+
+} // namespace
+
+bool concernsFlow(Decision What) {
+  switch (What) {
+  case Decision::AgentSuspected:
+  case Decision::AgentLeaving:
+  case Decision::AgentRegained:
+  case Decision::UpstreamSilent:
+  case Decision::UpstreamAnswers:
+  case Decision::PauseNoticed:
+    return false;
+  default:
+    return true;
+  }
+}
+
+DecisionLog::DecisionLog(prometheus::Registry &Metrics,
+                         const std::string &LatencyName,
+                         const std::string &LatencyHelp)
+    : Latency(makeHistogram(Metrics, LatencyName, LatencyHelp)) {
+  auto &Family = prometheus::BuildCounter()
+                     .Name("mulberry_decisions_total")
+                     .Help("Decisions by kind.")
+                     .Register(Metrics);
+  for (std::size_t I = 0; I < DecisionCount; ++I) {
+    const auto What = static_cast<Decision>(I);
+    this->Counters[I] =
+        &Family.Add({{"decision", std::string(decisionName(What))}});
+  }
+}
+
+void DecisionLog::observe(Duration Value) {
+  this->Latency.Observe(std::chrono::duration<double>(Value).count());
+}
+
+bool DecisionLog::spend(Instant Now) {
+  if (Now >= this->SecondEnds) {
+    this->SecondEnds = Now + std::chrono::seconds(1);
+    this->Spent = 0;
+    if (const auto Omitted = std::exchange(this->Suppressed, 0)) {
+      log(LogLevel::Warning, "flow decisions not logged",
+          {{"count", static_cast<std::int64_t>(Omitted)}});
+    }
+  }
+  if (this->Spent == FlowLinesPerSecond) {
+    ++this->Suppressed;
+    return false;
+  }
+  ++this->Spent;
+  return true;
+}
+
+void DecisionLog::record(const RecordDecision &Each, std::uint64_t Version,
+                         Instant Now) {
+  this->Counters[static_cast<std::size_t>(Each.What)]->Increment();
+  const auto AgeMs =
+      std::chrono::duration<double, std::milli>(Each.Age).count();
+  if (!concernsFlow(Each.What)) {
+    log(LogLevel::Info, decisionName(Each.What),
+        {{"agent", addressText(Each.Agent)},
+         {"load", std::int64_t{Each.Load}},
+         {"age_ms", AgeMs}});
+    return;
+  }
+  if (!this->spend(Now)) {
+    return;
+  }
+  log(LogLevel::Info, decisionName(Each.What),
+      {{"flow", flowText(Each.Flow)},
+       {"agent", addressText(Each.Agent)},
+       {"load", std::int64_t{Each.Load}},
+       {"slots", std::int64_t{Each.Slots}},
+       {"hops", std::int64_t{Each.Hops}},
+       {"age_ms", AgeMs},
+       {"version", static_cast<std::int64_t>(Version)}});
+}
+
+} // namespace mulberryhoist
--- /dev/null
+++ b/src/directory.cc
@@ -0,0 +1,192 @@
+#include "mulberryhoist/directory.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+
+#include "mulberryhoist/log.h"
+
+namespace mulberryhoist {
+namespace {
+
+void logUpstream(std::string_view Text, const ListedUpstream &Each) {
+  log(LogLevel::Info, Text,
+      {{"upstream", Each.Name},
+       {"agent", formatEndpoint({Each.Address, 0})},
+       {"state", upstreamStateName(Each.State)},
+       {"slots", std::int64_t{Each.Slots}}});
+}
+
+} // namespace
+
+std::string_view upstreamStateName(UpstreamState State) {
+  switch (State) {
+  case UpstreamState::Ready:
+    return "ready";
+  case UpstreamState::Draining:
+    return "draining";
+  case UpstreamState::Gone:
+    return "gone";
+  }
+  return "gone";
+}
+
+Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams)
+    : Version(Routes.Version), Upstreams(Upstreams.size()),
+      Routes(std::move(Routes.Routes)) {
+  for (std::size_t I = 0; I < this->Routes.size(); ++I) {
+    this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
+  }
+  for (const ListedUpstream &Each : Upstreams) {
+    this->ByService[Each.Service].push_back(Each);
+    if (Each.State != UpstreamState::Gone) {
+      this->Agents.insert(Each.Address);
+    }
+  }
+}
+
+const Route *Directory::findRoute(Endpoint Address) const {
+  const auto Found = this->ByAddress.find(Address);
+  return Found == this->ByAddress.end() ? nullptr
+                                        : &this->Routes[Found->second];
+}
+
+std::span<const ListedUpstream> Directory::upstreams(ServiceId Service) const {
+  const auto Found = this->ByService.find(Service);
+  if (Found == this->ByService.end()) {
+    return {};
+  }
+  return Found->second;
+}
+
+Result<void> DirectoryKeeper::onRoutes(RouteSet Next) {
+  if (this->HasRoutes && Next.Version < this->Routes.Version) {
+    return makeError(ErrorKind::OlderTable,
+                     fmt::format("configuration {} is older than {} in force",
+                                 Next.Version, this->Routes.Version));
+  }
+  if (this->HasRoutes && Next.Version == this->Routes.Version) {
+    return {};
+  }
+  log(LogLevel::Info, "configuration in force",
+      {{"version", static_cast<std::int64_t>(Next.Version)},
+       {"previous", static_cast<std::int64_t>(this->Routes.Version)},
+       {"routes", static_cast<std::int64_t>(Next.Routes.size())}});
+  this->Routes = std::move(Next);
+  this->HasRoutes = true;
+  this->Built = nullptr;
+  return {};
+}
+
+void DirectoryKeeper::onUpstream(ListedUpstream Changed) {
+  Entry &Known = this->Entries[Changed.Name];
+  const bool IsNew = Known.Listed.Name.empty();
+  const bool IsSame = Known.Listed == Changed;
+  Known.BelieveAbsenceAt.reset();
+  Known.ForgetAt.reset();
+  if (IsSame) {
+    return;
+  }
+  Known.Listed = std::move(Changed);
+  logUpstream(IsNew ? "upstream listed" : "upstream changed", Known.Listed);
+  this->Built = nullptr;
+}
+
+void DirectoryKeeper::markGone(Entry &Each, Instant Now) {
+  Each.BelieveAbsenceAt.reset();
+  Each.ForgetAt = Now + GoneRetention;
+  Each.Listed.State = UpstreamState::Gone;
+  logUpstream("upstream gone", Each.Listed);
+  this->Built = nullptr;
+}
+
+void DirectoryKeeper::remove(Entry &Each, Instant Now) {
+  if (Each.ForgetAt || Each.BelieveAbsenceAt) {
+    return;
+  }
+  // An upstream that announced its end is not expected to return.
+  const bool MayReturn = this->GraceUntil && Now < *this->GraceUntil &&
+                         Each.Listed.State == UpstreamState::Ready;
+  if (!MayReturn) {
+    this->markGone(Each, Now);
+    return;
+  }
+  Each.BelieveAbsenceAt = this->GraceUntil;
+  logUpstream("upstream missing after an outage of the source", Each.Listed);
+}
+
+void DirectoryKeeper::onRemoved(std::string_view Name, Instant Now) {
+  const auto Found = this->Entries.find(Name);
+  if (Found != this->Entries.end()) {
+    this->remove(Found->second, Now);
+  }
+}
+
+void DirectoryKeeper::onListing(std::vector<ListedUpstream> All, Instant Now) {
+  if (this->SourceLost && this->HasListing) {
+    this->GraceUntil = Now + ReturnGrace;
+  }
+  if (this->SourceLost) {
+    log(LogLevel::Info, "source of the directory available",
+        {{"upstreams", static_cast<std::int64_t>(All.size())}});
+  }
+  this->SourceLost = false;
+  this->HasListing = true;
+  std::set<std::string, std::less<>> Present;
+  for (ListedUpstream &Each : All) {
+    Present.insert(Each.Name);
+    this->onUpstream(std::move(Each));
+  }
+  for (auto &[Name, Each] : this->Entries) {
+    if (!Present.contains(Name)) {
+      this->remove(Each, Now);
+    }
+  }
+  this->Built = nullptr;
+}
+
+void DirectoryKeeper::onCopy(std::vector<ListedUpstream> All) {
+  this->HasListing = true;
+  for (ListedUpstream &Each : All) {
+    this->onUpstream(std::move(Each));
+  }
+  this->Built = nullptr;
+}
+
+void DirectoryKeeper::onSourceLost() {
+  if (!this->SourceLost) {
+    log(LogLevel::Warning, "source of the directory lost",
+        {{"version", static_cast<std::int64_t>(this->Routes.Version)},
+         {"upstreams", static_cast<std::int64_t>(this->Entries.size())}});
+  }
+  this->SourceLost = true;
+}
+
+void DirectoryKeeper::onTick(Instant Now) {
+  for (auto Each = this->Entries.begin(); Each != this->Entries.end();) {
+    Entry &Known = Each->second;
+    if (Known.BelieveAbsenceAt && Now >= *Known.BelieveAbsenceAt) {
+      this->markGone(Known, Now);
+    }
+    if (Known.ForgetAt && Now >= *Known.ForgetAt) {
+      Each = this->Entries.erase(Each);
+      this->Built = nullptr;
+    } else {
+      ++Each;
+    }
+  }
+}
+
+std::shared_ptr<const Directory> DirectoryKeeper::current() {
+  if (this->Built == nullptr) {
+    std::vector<ListedUpstream> All;
+    All.reserve(this->Entries.size());
+    for (const auto &[Name, Each] : this->Entries) {
+      All.push_back(Each.Listed);
+    }
+    this->Built = std::make_shared<const Directory>(this->Routes, All);
+  }
+  return this->Built;
+}
+
+} // namespace mulberryhoist
--- a/src/documents.cc
+++ b/src/documents.cc
@@ -59,7 +59,7 @@
   std::uint64_t Number = 0;
   DocumentKind Kind = DocumentKind::Table;
   Result<PlatformAnswer> Answer;
-  PlatformCounters Counters;
+  HttpCounters Counters;
 };
 
 using ReadCalls = Ring<ReadCall, RingCapacity>;
@@ -166,7 +166,7 @@
   std::uint64_t NextCall = 1;
   bool NeighboursChanged = true;
   bool PlatformReachable = false;
-  PlatformCounters Platform;
+  HttpCounters Platform;
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
   std::uint64_t MalformedFrames = 0;
--- a/src/error.cc
+++ b/src/error.cc
@@ -28,6 +28,7 @@
      ErrorAnswer::RetryLater},
     {ErrorKind::CallRateExceeded, "call_rate_exceeded",
      ErrorAnswer::RetryLater},
+    {ErrorKind::HistoryLost, "history_lost", ErrorAnswer::RetryLater},
     {ErrorKind::RefusedNotRun, "refused_not_run", ErrorAnswer::Refuse},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", ErrorAnswer::Reset},
     {ErrorKind::RingFull, "ring_full", ErrorAnswer::Drop},
--- /dev/null
+++ b/src/gate.cc
@@ -0,0 +1,415 @@
+#include "mulberryhoist/gate.h"
+
+#include <algorithm>
+
+namespace mulberryhoist {
+namespace {
+
+/// How much one measured request changes the mean service time.
+constexpr int ServiceTimeWeight = 16;
+
+/// How often expired flows are looked for.
+constexpr Duration SweepPeriod = std::chrono::milliseconds(250);
+
+/// A service time is only believed up to here; longer ones are no queueing
+/// problem but broken requests.
+constexpr Duration LongestServiceTime = std::chrono::seconds(2);
+
+} // namespace
+
+GateLogic::GateLogic(GateSettings Settings, Instant Now)
+    : Settings(Settings), InFlight(HandedCapacity), NextSweep(Now) {}
+
+RecordDecision GateLogic::record(Decision What, const FlowKey &Flow,
+                                 const Steer &Header) const {
+  RecordDecision Record;
+  Record.What = What;
+  Record.Flow = Flow;
+  Record.Load = this->Load;
+  Record.Slots = Header.Slots;
+  Record.Hops = Header.Hops;
+  return Record;
+}
+
+void GateLogic::onSteer(const Steer &Header, const RoutedPacket &Packet,
+                        Instant Now, SteerActionList &Out) {
+  this->noticeBalancer(Header.Balancer);
+  if (!Header.Services.contains(this->Settings.Service)) {
+    Out.emplace_back(this->record(Decision::WrongService,
+                                  Packet.View.callerFlow(), Header));
+    this->passOn(Header, Packet, Out);
+    return;
+  }
+  if (Packet.View.isOpening()) {
+    this->onOpening(Header, Packet, Now, Out);
+  } else {
+    this->onFlowPacket(Header, Packet, Now, Out);
+  }
+}
+
+void GateLogic::onCheck(Endpoint From, const Check &Body,
+                        SteerActionList &Out) {
+  this->noticeBalancer(From.Address);
+  Out.emplace_back(
+      SendSteer{From, CheckReply{Body.Sequence, this->isLeaving()}, {}});
+}
+
+void GateLogic::noticeBalancer(std::uint32_t Balancer) {
+  if (!this->Balancers.contains(Balancer)) {
+    // A full list only means that some balancers notice the end later.
+    (void)this->Balancers.add(Balancer);
+  }
+}
+
+void GateLogic::onOpening(const Steer &Header, const RoutedPacket &Packet,
+                          Instant Now, SteerActionList &Out) {
+  const auto Known = this->Flows.find(Packet.View.callerFlow());
+  if (Known != this->Flows.end() &&
+      Known->second.Initial == Packet.View.Sequence) {
+    // The caller did not get the answer; the upstream repeats it.
+    Known->second.Notify = true;
+    Known->second.Balancer = Header.Balancer;
+    Out.emplace_back(HandToUpstream{Packet.Bytes, this->hand(Header)});
+    return;
+  }
+  this->noticeSilence(Now, Out);
+  if (this->mustPassOn(Header, Now)) {
+    this->passOn(Header, Packet, Out);
+    return;
+  }
+  if (this->Load < Header.Slots) {
+    this->take(Header, Packet, Now, Out);
+    return;
+  }
+  this->placeBusy(Header, Packet, Now, Out);
+}
+
+void GateLogic::noticeSilence(Instant Now, SteerActionList &Out) {
+  const Duration Since = Now - this->UnansweredSince;
+  if (this->Silent || this->Unanswered < SilentAfterOpenings ||
+      Since < UpstreamAnswerTimeout) {
+    return;
+  }
+  this->Silent = true;
+  RecordDecision Record;
+  Record.What = Decision::UpstreamSilent;
+  Record.Load = this->Load;
+  Record.Age = Since;
+  Out.emplace_back(Record);
+}
+
+bool GateLogic::mustPassOn(const Steer &Header, Instant Now) {
+  if (this->isLeaving()) {
+    return true;
+  }
+  if (!this->Silent || Header.Next.empty()) {
+    return false;
+  }
+  if (Now >= this->NextSilentTry) {
+    this->NextSilentTry = Now + SilentRetryPeriod;
+    return false;
+  }
+  return true;
+}
+
+void GateLogic::placeBusy(const Steer &Header, const RoutedPacket &Packet,
+                          Instant Now, SteerActionList &Out) {
+  if (!Header.Final) {
+    Steer Onward = Header;
+    const bool IsFirst = Header.LeastLoaded.Agent == 0;
+    if (IsFirst || this->Load * Header.LeastLoaded.Slots <
+                       Header.LeastLoad * Header.Slots) {
+      Onward.LeastLoaded = {this->Settings.Address, Header.Slots};
+      Onward.LeastLoad = this->Load;
+    }
+    if (!Header.Next.empty()) {
+      this->passOn(Onward, Packet, Out);
+      return;
+    }
+    if (Onward.LeastLoaded.Agent != this->Settings.Address) {
+      (void)Onward.Next.add(Onward.LeastLoaded);
+      Onward.Final = true;
+      this->passOn(Onward, Packet, Out);
+      return;
+    }
+  }
+  if (this->canServeInTime(Header, Packet)) {
+    this->take(Header, Packet, Now, Out);
+    return;
+  }
+  Out.emplace_back(this->record(Decision::OpeningRefused,
+                                Packet.View.callerFlow(), Header));
+  Out.emplace_back(RefuseCaller{Packet.View.callerFlow()});
+}
+
+bool GateLogic::canServeInTime(const Steer &Header,
+                               const RoutedPacket &Packet) const {
+  if (!this->ServiceTime || Header.Goal.count() == 0) {
+    return true;
+  }
+  const auto Waiting = static_cast<double>(this->Load + 1 - Header.Slots);
+  const auto Expected = std::chrono::duration_cast<Duration>(
+      *this->ServiceTime * (1.0 + Waiting / Header.Slots));
+  return Packet.Waited + Expected <= Header.Goal;
+}
+
+void GateLogic::take(const Steer &Header, const RoutedPacket &Packet,
+                     Instant Now, SteerActionList &Out) {
+  const FlowKey Key = Packet.View.callerFlow();
+  const std::uint32_t Tag = this->hand(Header);
+  if (this->Flows.size() < this->Settings.MaxFlows) {
+    Flow &Each = this->Flows[Key];
+    this->endWork(Each);
+    Each = Flow();
+    Each.Initial = Packet.View.Sequence;
+    Each.Balancer = Header.Balancer;
+    Each.Notify = true;
+    Each.LastSeen = Now;
+    this->beginWork(Each, Header.Slots, Now);
+  }
+  if (this->Unanswered++ == 0) {
+    this->UnansweredSince = Now;
+  }
+  Out.emplace_back(this->record(Decision::OpeningTaken, Key, Header));
+  Out.emplace_back(HandToUpstream{Packet.Bytes, Tag});
+}
+
+void GateLogic::passOn(const Steer &Header, const RoutedPacket &Packet,
+                       SteerActionList &Out) {
+  const FlowKey Key = Packet.View.callerFlow();
+  const bool IsOpening = Packet.View.isOpening();
+  if (Header.Next.empty()) {
+    Out.emplace_back(this->record(IsOpening ? Decision::OpeningDropped
+                                            : Decision::OwnerNotFound,
+                                  Key, Header));
+    return;
+  }
+  Steer Onward = Header;
+  const Candidate Next = Onward.Next.takeFirst();
+  Onward.Slots = Next.Slots;
+  ++Onward.Hops;
+  RecordDecision Record = this->record(
+      IsOpening ? Decision::OpeningPassedOn : Decision::PacketReturned, Key,
+      Header);
+  Record.Agent = Next.Agent;
+  Out.emplace_back(Record);
+  Out.emplace_back(
+      SendSteer{{Next.Agent, this->Settings.PeerPort}, Onward, Packet.Bytes});
+}
+
+void GateLogic::onFlowPacket(const Steer &Header, const RoutedPacket &Packet,
+                             Instant Now, SteerActionList &Out) {
+  const auto Known = this->Flows.find(Packet.View.callerFlow());
+  if (Known != this->Flows.end()) {
+    Flow &Each = Known->second;
+    Each.LastSeen = Now;
+    Each.Balancer = Header.Balancer;
+    Each.Notify = Each.Notify || Header.Notify;
+    if (!Packet.View.Payload.empty() && !Each.HasRequest) {
+      Each.HasRequest = true;
+      if (Each.Working) {
+        Each.WorkSince = Now;
+      } else {
+        this->beginWork(Each, Header.Slots, Now);
+      }
+    }
+  }
+  // Also a flow that is known here may be returned: its upstream restarted, or
+  // another upstream's answer was faster and the caller chose that one.
+  Out.emplace_back(HandToUpstream{Packet.Bytes, this->hand(Header)});
+}
+
+void GateLogic::onUpstreamPacket(const RoutedPacket &Packet, Instant Now,
+                                 SteerActionList &Out) {
+  if (this->Silent) {
+    this->Silent = false;
+    RecordDecision Record;
+    Record.What = Decision::UpstreamAnswers;
+    Record.Age = Now - this->UnansweredSince;
+    Out.emplace_back(Record);
+  }
+  this->Unanswered = 0;
+  if (Packet.Returned) {
+    this->onReturned(Packet, Out);
+    return;
+  }
+  this->LastFlowPacket = Now;
+  const FlowKey Key = Packet.View.upstreamFlow();
+  Out.emplace_back(PassToCaller{Key.Caller, Packet.Bytes});
+  auto Known = this->Flows.find(Key);
+  if (Known == this->Flows.end()) {
+    if (this->Flows.size() >= this->Settings.MaxFlows) {
+      return;
+    }
+    // This agent restarted while the upstream kept the flow.
+    Known = this->Flows.emplace(Key, Flow()).first;
+    Known->second.WorkSince = Now;
+  }
+  Flow &Each = Known->second;
+  Each.LastSeen = Now;
+  if (Packet.View.Flags.Syn && Packet.View.Flags.Ack) {
+    Each.UpstreamSequence = Packet.View.Sequence;
+  }
+  const bool Ends = Packet.View.Flags.Fin || Packet.View.Flags.Rst;
+  if (!Packet.View.Payload.empty() || Ends) {
+    if (Each.Working && Each.HasRequest) {
+      const Duration Spent = Now - Each.WorkSince;
+      Out.emplace_back(ObserveLatency{Spent});
+      if (Each.FoundFreeSlot && Spent < LongestServiceTime) {
+        this->ServiceTime =
+            this->ServiceTime
+                ? *this->ServiceTime +
+                      (Spent - *this->ServiceTime) / ServiceTimeWeight
+                : Spent;
+      }
+    }
+    this->endWork(Each);
+    Each.HasRequest = false;
+  }
+  this->noteAnswer(Key, Each, Out);
+  if (Packet.View.Flags.Rst) {
+    this->erase(Known);
+  }
+}
+
+void GateLogic::noteAnswer(const FlowKey &Key, Flow &Each,
+                           SteerActionList &Out) {
+  if (!Each.Notify || Each.Balancer == 0) {
+    return;
+  }
+  Each.Notify = false;
+  Taken Notice;
+  Notice.Flow = {Key, Each.Initial};
+  Notice.Sequence = Each.UpstreamSequence.value_or(0);
+  Notice.Load = this->Load;
+  Notice.Leaving = this->isLeaving();
+  Out.emplace_back(
+      SendSteer{{Each.Balancer, this->Settings.PeerPort}, Notice, {}});
+}
+
+void GateLogic::onReturned(const RoutedPacket &Packet, SteerActionList &Out) {
+  const FlowKey Key = Packet.View.callerFlow();
+  const auto Known = this->Flows.find(Key);
+  const std::optional<Steer> Header = this->takeHanded(Packet.Tag);
+  if (!Header) {
+    RecordDecision Record;
+    Record.What = Decision::OwnerNotFound;
+    Record.Flow = Key;
+    Out.emplace_back(Record);
+    return;
+  }
+  if (!Packet.View.isOpening()) {
+    if (Known != this->Flows.end()) {
+      this->erase(Known);
+    }
+    this->passOn(*Header, Packet, Out);
+    return;
+  }
+  if (Known != this->Flows.end() && !Known->second.UpstreamSequence) {
+    this->erase(Known);
+  }
+  if (!Header->Next.empty()) {
+    Out.emplace_back(this->record(Decision::OpeningReturned, Key, *Header));
+    Steer Onward = *Header;
+    Onward.Final = false;
+    this->passOn(Onward, Packet, Out);
+    return;
+  }
+  Out.emplace_back(this->record(Decision::OpeningRefused, Key, *Header));
+  Out.emplace_back(RefuseCaller{Key});
+}
+
+std::uint32_t GateLogic::hand(const Steer &Header) {
+  const std::uint32_t Tag = this->NextTag;
+  // Senders write 0, so that 0 never names a packet of this agent.
+  this->NextTag = Tag + 1 == 0 ? 1 : Tag + 1;
+  this->InFlight[Tag % HandedCapacity] = {Tag, Header};
+  return Tag;
+}
+
+std::optional<Steer> GateLogic::takeHanded(std::uint32_t Tag) {
+  Handed &Each = this->InFlight[Tag % HandedCapacity];
+  if (Tag == 0 || Each.Tag != Tag) {
+    return std::nullopt;
+  }
+  Each.Tag = 0;
+  return Each.Header;
+}
+
+void GateLogic::beginWork(Flow &Each, std::uint32_t Slots, Instant Now) {
+  Each.FoundFreeSlot = this->Load < Slots;
+  Each.Working = true;
+  Each.WorkSince = Now;
+  ++this->Load;
+}
+
+void GateLogic::endWork(Flow &Each) {
+  if (Each.Working) {
+    Each.Working = false;
+    --this->Load;
+  }
+}
+
+void GateLogic::erase(FlowMap::iterator Found) {
+  this->endWork(Found->second);
+  this->Flows.erase(Found);
+}
+
+void GateLogic::onService(ServiceId Next) {
+  if (Next == this->Settings.Service) {
+    return;
+  }
+  this->Settings.Service = Next;
+  this->Flows.clear();
+  this->Load = 0;
+  this->ServiceTime.reset();
+  this->Unanswered = 0;
+  this->Silent = false;
+  std::fill(this->InFlight.begin(), this->InFlight.end(), Handed());
+}
+
+void GateLogic::onTerminate(Instant Now, SteerActionList &Out) {
+  if (this->TerminateAt) {
+    return;
+  }
+  this->TerminateAt = Now;
+  for (const std::uint32_t Balancer : this->Balancers.view()) {
+    Out.emplace_back(SendSteer{
+        {Balancer, this->Settings.PeerPort}, CheckReply{0, true}, {}});
+  }
+}
+
+void GateLogic::onTick(Instant Now) {
+  if (Now < this->NextSweep) {
+    return;
+  }
+  this->NextSweep = Now + SweepPeriod;
+  for (auto Each = this->Flows.begin(); Each != this->Flows.end();) {
+    Flow &Known = Each->second;
+    const Duration Limit =
+        Known.HasRequest ? RequestWorkTimeout : OpeningWorkTimeout;
+    if (Known.Working && Now - Known.WorkSince >= Limit) {
+      this->endWork(Known);
+    }
+    if (Now - Known.LastSeen >= GateFlowTimeout) {
+      this->endWork(Known);
+      Each = this->Flows.erase(Each);
+    } else {
+      ++Each;
+    }
+  }
+}
+
+bool GateLogic::isDrained(Instant Now) const {
+  if (!this->TerminateAt) {
+    return false;
+  }
+  const Duration Since = Now - *this->TerminateAt;
+  if (Since >= GateDrainDeadline) {
+    return true;
+  }
+  return Since >= GateMinimumDrain && this->Load == 0 &&
+         Now - this->LastFlowPacket >= GateQuietPeriod;
+}
+
+} // namespace mulberryhoist
--- a/src/log.cc
+++ b/src/log.cc
@@ -2,12 +2,16 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
+#include <utility>
 
 namespace mulberryhoist {
 namespace {
@@ -16,11 +20,33 @@
 
 std::atomic<LogLevel> LowestLevel{LogLevel::Info};
 
+/// How long the writer collects lines before it writes them in one call.
+constexpr std::chrono::milliseconds CollectTime{50};
+
+/// How long a process that ends waits for a slow reader of its log.
+constexpr std::chrono::milliseconds FlushTime{200};
+
 struct ProcessName {
   std::mutex Lock;
   std::string Name;
 };
 
+/// The lines that wait for the writer; shared with its thread, which may
+/// outlive the process's interest in it while a write blocks.
+struct Backlog {
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::string Lines;
+  std::uint64_t Dropped = 0;
+  bool Stopping = false;
+  bool Done = false;
+};
+
+std::atomic<std::shared_ptr<Backlog>> &activeBacklog() {
+  static std::atomic<std::shared_ptr<Backlog>> Instance;
+  return Instance;
+}
+
 ProcessName &processName() {
   static ProcessName Instance;
   return Instance;
@@ -73,13 +99,57 @@
   return Line;
 }
 
+/// The call locks the stream, so that lines are whole. Nothing can be reported if it fails.
+void writeNow(std::string_view Text) {
+  (void)std::fwrite(Text.data(), 1, Text.size(), stdout);
+  (void)std::fflush(stdout);
+}
+
 void writeLine(const Json &Line) {
   // Bytes that are not UTF-8 come from outside; they must not lose the line.
   const std::string Text =
       Line.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n';
-  // Standard error is unbuffered and locked by the call, so the line is written
-  // whole. Nothing can be reported if that fails.
-  (void)std::fwrite(Text.data(), 1, Text.size(), stderr);
+  const std::shared_ptr<Backlog> Waiting = activeBacklog().load();
+  if (Waiting == nullptr) {
+    writeNow(Text);
+    return;
+  }
+  const std::scoped_lock Guard(Waiting->Lock);
+  if (Waiting->Lines.size() + Text.size() > MaxWaitingLogBytes) {
+    ++Waiting->Dropped;
+    return;
+  }
+  Waiting->Lines += Text;
+  Waiting->Changed.notify_one();
+}
+
+/// Writes what waits until the writer is asked to stop.
+void runWriter(const std::shared_ptr<Backlog> &Waiting) {
+  std::unique_lock Guard(Waiting->Lock);
+  while (true) {
+    Waiting->Changed.wait(Guard, [&] {
+      return Waiting->Stopping || !Waiting->Lines.empty();
+    });
+    if (!Waiting->Stopping) {
+      Waiting->Changed.wait_for(Guard, CollectTime,
+                                [&] { return Waiting->Stopping; });
+    }
+    const std::string Lines = std::exchange(Waiting->Lines, {});
+    const std::uint64_t Dropped = std::exchange(Waiting->Dropped, 0);
+    Guard.unlock();
+    writeNow(Lines);
+    if (Dropped != 0) {
+      Json Line = beginLine(LogLevel::Warning, "log lines dropped");
+      Line["count"] = Dropped;
+      writeNow(Line.dump() + '\n');
+    }
+    Guard.lock();
+    if (Waiting->Stopping && Waiting->Lines.empty()) {
+      Waiting->Done = true;
+      Waiting->Changed.notify_all();
+      return;
+    }
+  }
 }
 
 bool isWritten(LogLevel Level) {
@@ -88,6 +158,20 @@
 
 } // namespace
 
+LogWriter::LogWriter() {
+  auto Waiting = std::make_shared<Backlog>();
+  std::thread([Waiting] { runWriter(Waiting); }).detach();
+  activeBacklog().store(std::move(Waiting));
+}
+
+LogWriter::~LogWriter() {
+  const std::shared_ptr<Backlog> Waiting = activeBacklog().exchange(nullptr);
+  std::unique_lock Guard(Waiting->Lock);
+  Waiting->Stopping = true;
+  Waiting->Changed.notify_all();
+  Waiting->Changed.wait_for(Guard, FlushTime, [&] { return Waiting->Done; });
+}
+
 void setUpLog(std::string_view Process, LogLevel Lowest) {
   ProcessName &Instance = processName();
   const std::scoped_lock Guard(Instance.Lock);
--- a/src/signals.cc
+++ b/src/signals.cc
@@ -14,6 +14,7 @@
   sigaddset(&Set, SIGTERM);
   sigaddset(&Set, SIGINT);
   sigaddset(&Set, SIGUSR1);
+  sigaddset(&Set, SIGHUP);
   return Set;
 }
 
@@ -46,6 +47,8 @@
     return SignalRequest::Stop;
   case SIGUSR1:
     return SignalRequest::Dump;
+  case SIGHUP:
+    return SignalRequest::Reload;
   default:
     return std::nullopt;
   }
--- /dev/null
+++ b/src/steer-wire.cc
@@ -0,0 +1,143 @@
+#include "mulberryhoist/steer-wire.h"
+
+#include "envelope-codec.h"
+#include "flow-codec.h"
+
+namespace mulberryhoist {
+namespace {
+
+/// An address is asked to take at most this many slots into account; more is a
+/// broken message.
+constexpr std::uint32_t MaxSlots = 65'535;
+
+void write(const Steer &From, proto::SteerEnvelope &Envelope) {
+  proto::Steer &To = *Envelope.mutable_steer();
+  for (const ServiceId Each : From.Services.view()) {
+    To.add_services(Each.Value);
+  }
+  for (const Candidate &Each : From.Next.view()) {
+    To.add_candidates(Each.Agent);
+    To.add_slots(Each.Slots);
+  }
+  To.set_balancer(From.Balancer);
+  To.set_final(From.Final);
+  To.set_notify(From.Notify);
+  To.set_own_slots(From.Slots);
+  To.set_goal_ms(static_cast<std::uint32_t>(From.Goal.count()));
+  To.set_least_loaded(From.LeastLoaded.Agent);
+  To.set_least_load(From.LeastLoad);
+  To.set_hops(From.Hops);
+}
+
+void write(const Taken &From, proto::SteerEnvelope &Envelope) {
+  proto::Taken &To = *Envelope.mutable_taken();
+  detail::writeFlow(From.Flow, *To.mutable_flow());
+  To.set_sequence(From.Sequence);
+  To.set_load(From.Load);
+  To.set_leaving(From.Leaving);
+}
+
+void write(const Check &From, proto::SteerEnvelope &Envelope) {
+  Envelope.mutable_check()->set_sequence(From.Sequence);
+}
+
+void write(const CheckReply &From, proto::SteerEnvelope &Envelope) {
+  proto::CheckReply &To = *Envelope.mutable_check_reply();
+  To.set_sequence(From.Sequence);
+  To.set_leaving(From.Leaving);
+}
+
+bool isSlots(std::uint32_t Value) { return Value >= 1 && Value <= MaxSlots; }
+
+std::optional<SteerMessage> read(const proto::Steer &From) {
+  Steer To;
+  for (const std::uint32_t Each : From.services()) {
+    if (!To.Services.add({Each})) {
+      return std::nullopt;
+    }
+  }
+  if (From.candidates_size() != From.slots_size() || To.Services.empty() ||
+      !isSlots(From.own_slots())) {
+    return std::nullopt;
+  }
+  for (int I = 0; I < From.candidates_size(); ++I) {
+    if (!isSlots(From.slots(I)) ||
+        !To.Next.add({From.candidates(I), From.slots(I)})) {
+      return std::nullopt;
+    }
+  }
+  To.Balancer = From.balancer();
+  To.Final = From.final();
+  To.Notify = From.notify();
+  To.Slots = From.own_slots();
+  To.Goal = std::chrono::milliseconds(From.goal_ms());
+  To.LeastLoaded = {From.least_loaded(), 1};
+  To.LeastLoad = From.least_load();
+  To.Hops = From.hops();
+  return To;
+}
+
+std::optional<SteerMessage> read(const proto::Taken &From) {
+  const auto Flow = detail::readFlow(From);
+  if (!Flow) {
+    return std::nullopt;
+  }
+  return Taken{*Flow, From.sequence(), From.load(), From.leaving()};
+}
+
+/// The messages of the steered path; only `Steer` has a packet.
+struct Schema {
+  using Typed = SteerMessage;
+  using Envelope = proto::SteerEnvelope;
+
+  static void encode(const SteerMessage &Body, Envelope &To) {
+    std::visit([&To](const auto &Each) { write(Each, To); }, Body);
+  }
+
+  static std::optional<SteerMessage> decode(const Envelope &From) {
+    switch (From.body_case()) {
+    case Envelope::kSteer:
+      return read(From.steer());
+    case Envelope::kTaken:
+      return read(From.taken());
+    case Envelope::kCheck:
+      return Check{From.check().sequence()};
+    case Envelope::kCheckReply:
+      return CheckReply{From.check_reply().sequence(),
+                        From.check_reply().leaving()};
+    case Envelope::BODY_NOT_SET:
+      break;
+    }
+    return std::nullopt;
+  }
+
+  static bool hasPacket(const SteerMessage &Body) {
+    return std::holds_alternative<Steer>(Body);
+  }
+};
+
+} // namespace
+
+struct SteerCodec::State {
+  detail::EnvelopeCodec<Schema> Envelopes;
+};
+
+SteerCodec::SteerCodec() : Impl(std::make_unique<State>()) {}
+SteerCodec::~SteerCodec() = default;
+SteerCodec::SteerCodec(SteerCodec &&) noexcept = default;
+SteerCodec &SteerCodec::operator=(SteerCodec &&) noexcept = default;
+
+Result<SteerDatagram> SteerCodec::decode(PacketBytes Bytes) {
+  auto Decoded = this->Impl->Envelopes.decode(Bytes);
+  if (!Decoded) {
+    return tl::unexpected<Error>(std::move(Decoded.error()));
+  }
+  return SteerDatagram{std::move(Decoded->Body), Decoded->Packet};
+}
+
+Result<PacketBytes> SteerCodec::encode(const SteerMessage &Body,
+                                       PacketBytes Packet) {
+  return this->Impl->Envelopes.encode(Body, Packet);
+}
+
+} // namespace mulberryhoist
--- a/test/log-test.cc
+++ b/test/log-test.cc
@@ -11,9 +11,9 @@
 namespace {
 
 template <typename Call> std::string captureLog(Call Write) {
-  testing::internal::CaptureStderr();
+  testing::internal::CaptureStdout();
   Write();
-  return testing::internal::GetCapturedStderr();
+  return testing::internal::GetCapturedStdout();
 }
 
 class LogTextTest : public testing::TestWithParam<std::string_view> {};
--- a/test/signals-test.cc
+++ b/test/signals-test.cc
@@ -34,7 +34,8 @@
     Signals, SignalsTest,
     testing::Values(SignalRow{SIGTERM, SignalRequest::Stop},
                     SignalRow{SIGINT, SignalRequest::Stop},
-                    SignalRow{SIGUSR1, SignalRequest::Dump}));
+                    SignalRow{SIGUSR1, SignalRequest::Dump},
+                    SignalRow{SIGHUP, SignalRequest::Reload}));
 
 } // namespace
 } // namespace mulberryhoist
