Stop counting openings whose request does not come

Copies of an opening are answered by several upstreams, and each counted as work for 800 ms; a restarted upstream was listed twice until its old entry lapsed, so that one agent was asked twice; the slots of the least loaded candidate were lost on the way, so that it refused always.

Ruled out: too few upstreams (22 entries were listed, 11 of them alive).

Change: an opening counts for 30 ms until its request comes; one candidate for each agent; the slots travel with the candidate.

--- a/include/mulberryhoist/gate.h
+++ b/include/mulberryhoist/gate.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -21,9 +22,10 @@
 
 namespace mulberryhoist {
 
-/// How long an opening counts as work while its caller sends no request: one
-/// retransmission of the caller's handshake and some delay.
-inline constexpr Duration OpeningWorkTimeout = std::chrono::milliseconds(800);
+/// How long an opening counts as work before its request comes: the way to the
+/// caller and back takes up to 10 ms, and some delay. Copies of one opening can
+/// be answered by several upstreams, of which the caller uses one.
+inline constexpr Duration OpeningWorkTimeout = std::chrono::milliseconds(30);
 
 /// How long a request counts as work without any answer of the upstream. Longer
 /// than the longest work that callers wait for.
@@ -119,6 +121,12 @@
     Instant LastSeen;
   };
 
+  /// An opening whose request has not come yet.
+  struct AwaitedRequest {
+    FlowKey Key;
+    Instant Since;
+  };
+
   /// A packet that the upstream may return.
   struct Handed {
     std::uint32_t Tag = 0;
@@ -150,6 +158,7 @@
   std::optional<Steer> takeHanded(std::uint32_t Tag);
   void beginWork(Flow &Each, std::uint32_t Slots, Instant Now);
   void endWork(Flow &Each);
+  void expireOpenings(Instant Now);
   void erase(FlowMap::iterator Found);
   void noticeBalancer(std::uint32_t Balancer);
   RecordDecision record(Decision What, const FlowKey &Flow,
@@ -157,6 +166,8 @@
 
   GateSettings Settings;
   FlowMap Flows;
+  /// In the order of time.
+  std::deque<AwaitedRequest> Awaited;
   std::uint32_t Load = 0;
   std::optional<Duration> ServiceTime;
   std::vector<Handed> InFlight;
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -31,8 +31,22 @@
   return Record;
 }
 
+void GateLogic::expireOpenings(Instant Now) {
+  while (!this->Awaited.empty() &&
+         Now - this->Awaited.front().Since >= OpeningWorkTimeout) {
+    const AwaitedRequest Next = this->Awaited.front();
+    this->Awaited.pop_front();
+    const auto Known = this->Flows.find(Next.Key);
+    if (Known != this->Flows.end() && !Known->second.HasRequest &&
+        Known->second.WorkSince == Next.Since) {
+      this->endWork(Known->second);
+    }
+  }
+}
+
 void GateLogic::onSteer(const Steer &Header, const RoutedPacket &Packet,
                         Instant Now, SteerActionList &Out) {
+  this->expireOpenings(Now);
   this->noticeBalancer(Header.Balancer);
   if (!Header.Services.contains(this->Settings.Service)) {
     Out.emplace_back(this->record(Decision::WrongService,
@@ -166,6 +180,7 @@
     Each.Notify = true;
     Each.LastSeen = Now;
     this->beginWork(Each, Header.Slots, Now);
+    this->Awaited.push_back({Key, Now});
   }
   if (this->Unanswered++ == 0) {
     this->UnansweredSince = Now;
@@ -361,6 +376,7 @@
   }
   this->Settings.Service = Next;
   this->Flows.clear();
+  this->Awaited.clear();
   this->Load = 0;
   this->ServiceTime.reset();
   this->Unanswered = 0;
@@ -380,15 +396,14 @@
 }
 
 void GateLogic::onTick(Instant Now) {
+  this->expireOpenings(Now);
   if (Now < this->NextSweep) {
     return;
   }
   this->NextSweep = Now + SweepPeriod;
   for (auto Each = this->Flows.begin(); Each != this->Flows.end();) {
     Flow &Known = Each->second;
-    const Duration Limit =
-        Known.HasRequest ? RequestWorkTimeout : OpeningWorkTimeout;
-    if (Known.Working && Now - Known.WorkSince >= Limit) {
+    if (Known.Working && Now - Known.WorkSince >= RequestWorkTimeout) {
       this->endWork(Known);
     }
     if (Now - Known.LastSeen >= GateFlowTimeout) {
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -25,6 +25,7 @@
   To.set_own_slots(From.Slots);
   To.set_goal_ms(static_cast<std::uint32_t>(From.Goal.count()));
   To.set_least_loaded(From.LeastLoaded.Agent);
+  To.set_least_slots(From.LeastLoaded.Slots);
   To.set_least_load(From.LeastLoad);
   To.set_hops(From.Hops);
 }
@@ -57,7 +58,8 @@
     }
   }
   if (From.candidates_size() != From.slots_size() || To.Services.empty() ||
-      !isSlots(From.own_slots())) {
+      !isSlots(From.own_slots()) ||
+      (From.least_loaded() != 0 && !isSlots(From.least_slots()))) {
     return std::nullopt;
   }
   for (int I = 0; I < From.candidates_size(); ++I) {
@@ -71,7 +73,7 @@
   To.Notify = From.notify();
   To.Slots = From.own_slots();
   To.Goal = std::chrono::milliseconds(From.goal_ms());
-  To.LeastLoaded = {From.least_loaded(), 1};
+  To.LeastLoaded = {From.least_loaded(), From.least_slots()};
   To.LeastLoad = From.least_load();
   To.Hops = From.hops();
   return To;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -36,10 +36,19 @@
   return Where.Targets.front().Service;
 }
 
+/// Sorts the list and leaves one entry for each agent: an upstream that
+/// restarted is listed twice until its old entry lapses.
 void sortRanked(RankedList &List) {
   std::ranges::sort(List, [](const Ranked &A, const Ranked &B) {
     return A.Last != B.Last ? B.Last : A.Score < B.Score;
   });
+  std::vector<std::uint32_t> Seen;
+  std::erase_if(List, [&Seen](const Ranked &Each) {
+    const bool IsKnown =
+        std::ranges::find(Seen, Each.Who.Agent) != Seen.end();
+    Seen.push_back(Each.Who.Agent);
+    return IsKnown;
+  });
 }
 
 /// Adds the upstreams of a service that `Accepts` takes.
