--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -41,6 +41,8 @@
   std::vector<RouteTarget> Targets;
   /// The latency objective.
   std::chrono::milliseconds Goal{0};
+  /// How long callers wait for an answer; 0 if it is not known.
+  std::chrono::milliseconds Timeout{0};
   /// 0 is the most urgent.
   std::uint32_t Class = 0;
 
@@ -192,8 +194,8 @@
   template <std::invocable<DirectoryKeeper &> Change>
   auto update(const Change &Apply) {
     const std::scoped_lock Guard(this->Lock);
-    if constexpr (std::is_void_v<std::invoke_result_t<Change,
-                                                      DirectoryKeeper &>>) {
+    if constexpr (std::is_void_v<
+                      std::invoke_result_t<Change, DirectoryKeeper &>>) {
       Apply(this->Keeper);
       this->publish();
     } else {
--- a/include/mulberryhoist/gate-data.h
+++ b/include/mulberryhoist/gate-data.h
@@ -56,7 +56,8 @@
       this->takeRequests(Logic, Out, Now);
       const bool IsIdle = this->readUpstream(Logic, Out, Now) &
                           this->readMessages(Logic, Out, Now);
-      Logic.onTick(Now);
+      Logic.onTick(Now, Out);
+      this->Output.perform(Out, Now);
       if (Logic.isDrained(Now)) {
         this->Drained = true;
       }
@@ -88,8 +89,7 @@
         Decisions(Metrics, "request_seconds",
                   "Time from a request to the upstream's first answer"),
         Peers(std::move(Peers)), FromUpstream(std::move(FromUpstream)),
-        Output(this->Peers, Settings.CallerPort, this->Decisions,
-               this->Errors),
+        Output(this->Peers, Settings.CallerPort, this->Decisions, this->Errors),
         Service(Settings.Service), Upstream(Settings.Upstream) {}
 
   void takeRequests(GateLogic &Logic, SteerActionList &Out, Instant Now) {
@@ -144,9 +144,9 @@
     }
     const auto *Header = std::get_if<Steer>(&Input.Body);
     if (Header == nullptr) {
-      this->Output.report({ErrorKind::MalformedMessage,
-                           "an agent got a message for balancers"},
-                          Now);
+      this->Output.report(
+          {ErrorKind::MalformedMessage, "an agent got a message for balancers"},
+          Now);
       return;
     }
     const auto Packet = Format::parse(Input.Packet);
--- a/include/mulberryhoist/gate.h
+++ b/include/mulberryhoist/gate.h
@@ -3,8 +3,8 @@
 /// holds a flow.
 ///
 /// The agent keeps no state that a rule depends on. What it knows of flows only
-/// counts the upstream's load and saves searches; after a restart the upstream's
-/// own answers replace it.
+/// counts the upstream's load and saves searches; after a restart the
+/// upstream's own answers replace it.
 
 #ifndef MULBERRYHOIST_GATE_H
 #define MULBERRYHOIST_GATE_H
@@ -57,6 +57,17 @@
 /// one retransmission of an upstream (200 ms) and some delay.
 inline constexpr Duration GateQuietPeriod = std::chrono::milliseconds(250);
 
+/// The most openings that wait for a free slot at one agent.
+inline constexpr std::size_t MaxHeldOpenings = 256;
+
+/// How many times longer an opening waits than the requests before it take,
+/// since new openings that can be served in time go first.
+inline constexpr int HeldSlowdown = 2;
+
+/// What remains for the way to the caller and its request when the wait of an
+/// opening ends.
+inline constexpr Duration HeldMargin = std::chrono::milliseconds(100);
+
 /// The settings of the gate.
 struct GateSettings {
   /// The service of the upstream beside the agent.
@@ -91,7 +102,7 @@
   void onTerminate(Instant Now, SteerActionList &Out);
 
   /// Time passes; to be called several times a second.
-  void onTick(Instant Now);
+  void onTick(Instant Now, SteerActionList &Out);
 
   /// True once a process that was asked to stop may exit.
   bool isDrained(Instant Now) const;
@@ -107,7 +118,7 @@
   std::size_t flowCount() const { return this->Flows.size(); }
 
 private:
-  struct Flow {
+  struct GateFlow {
     Incarnation Initial = 0;
     /// The initial sequence number of the upstream, once it answered.
     std::optional<std::uint32_t> UpstreamSequence;
@@ -133,7 +144,16 @@
     Steer Header;
   };
 
-  using FlowMap = std::unordered_map<FlowKey, Flow>;
+  /// An opening that waits for a free slot.
+  struct HeldOpening {
+    FlowIncarnation Flow;
+    std::vector<std::uint8_t> Bytes;
+    Steer Header;
+    Instant Since;
+    Instant Until;
+  };
+
+  using FlowMap = std::unordered_map<FlowKey, GateFlow>;
 
   /// Packets that can be under way to the upstream and back; it answers within
   /// milliseconds, and a busy agent sees some thousands of packets a second.
@@ -145,19 +165,28 @@
   bool mustPassOn(const Steer &Header, Instant Now);
   void placeBusy(const Steer &Header, const RoutedPacket &Packet, Instant Now,
                  SteerActionList &Out);
-  bool canServeInTime(const Steer &Header, const RoutedPacket &Packet) const;
-  void take(const Steer &Header, const RoutedPacket &Packet, Instant Now,
+  bool isHeld(const FlowIncarnation &Flow) const;
+  bool canWait(const Steer &Header, const RoutedPacket &Packet) const;
+  void hold(const Steer &Header, const RoutedPacket &Packet, Instant Now,
             SteerActionList &Out);
+  void releaseHeld(Instant Now, SteerActionList &Out);
+  /// What counts when agents are compared: work and openings that wait for it.
+  std::uint32_t pressure() const {
+    return this->Load + static_cast<std::uint32_t>(this->Held.size());
+  }
+  bool canServeInTime(const Steer &Header, const RoutedPacket &Packet) const;
+  void take(const Steer &Header, const FlowIncarnation &Flow,
+            PacketBytes Bytes, Instant Now, SteerActionList &Out);
   void passOn(const Steer &Header, const RoutedPacket &Packet,
               SteerActionList &Out);
   void onFlowPacket(const Steer &Header, const RoutedPacket &Packet,
                     Instant Now, SteerActionList &Out);
   void onReturned(const RoutedPacket &Packet, SteerActionList &Out);
-  void noteAnswer(const FlowKey &Key, Flow &Each, SteerActionList &Out);
+  void noteAnswer(const FlowKey &Key, GateFlow &Each, SteerActionList &Out);
   std::uint32_t hand(const Steer &Header);
   std::optional<Steer> takeHanded(std::uint32_t Tag);
-  void beginWork(Flow &Each, std::uint32_t Slots, Instant Now);
-  void endWork(Flow &Each);
+  void beginWork(GateFlow &Each, std::uint32_t Slots, Instant Now);
+  void endWork(GateFlow &Each);
   void expireOpenings(Instant Now);
   void erase(FlowMap::iterator Found);
   void noticeBalancer(std::uint32_t Balancer);
@@ -168,6 +197,9 @@
   FlowMap Flows;
   /// In the order of time.
   std::deque<AwaitedRequest> Awaited;
+  std::deque<HeldOpening> Held;
+  /// The bytes of openings that the last event released.
+  std::vector<std::vector<std::uint8_t>> Released;
   std::uint32_t Load = 0;
   std::optional<Duration> ServiceTime;
   std::vector<Handed> InFlight;
--- a/include/mulberryhoist/packet-format.h
+++ b/include/mulberryhoist/packet-format.h
@@ -28,17 +28,17 @@
 
 /// Reads and writes the packets of one format.
 template <typename T>
-concept PacketFormat =
-    requires(PacketBytes Bytes, std::span<std::uint8_t> Writable,
-             std::uint32_t Tag, const FlowKey &Flow) {
-      { T::parse(Bytes) } -> std::same_as<Result<RoutedPacket>>;
-      // Makes the packet ready for an upstream: not returned, with this tag.
-      { T::prepare(Writable, Tag) } -> std::same_as<void>;
-      // Makes the packet as its sender wrote it.
-      { T::restore(Writable) } -> std::same_as<void>;
-      // The refusal of an opening, from the service address to the caller.
-      { T::makeRefusal(Flow) } -> std::same_as<std::vector<std::uint8_t>>;
-    };
+concept PacketFormat = requires(PacketBytes Bytes,
+                                std::span<std::uint8_t> Writable,
+                                std::uint32_t Tag, const FlowKey &Flow) {
+  { T::parse(Bytes) } -> std::same_as<Result<RoutedPacket>>;
+  // Makes the packet ready for an upstream: not returned, with this tag.
+  { T::prepare(Writable, Tag) } -> std::same_as<void>;
+  // Makes the packet as its sender wrote it.
+  { T::restore(Writable) } -> std::same_as<void>;
+  // The refusal of an opening, from the service address to the caller.
+  { T::makeRefusal(Flow) } -> std::same_as<std::vector<std::uint8_t>>;
+};
 
 } // namespace mulberryhoist
 
--- a/include/mulberryhoist/signals.h
+++ b/include/mulberryhoist/signals.h
@@ -15,13 +15,14 @@
 
 /// What a signal asks the process to do.
 enum class SignalRequest : std::uint8_t {
-  Stop, ///< SIGTERM or SIGINT.
-  Dump, ///< SIGUSR1: write the state dump to the log.
+  Stop,   ///< SIGTERM or SIGINT.
+  Dump,   ///< SIGUSR1: write the state dump to the log.
   Reload, ///< SIGHUP: read the settings again.
 };
 
-/// Blocks SIGTERM, SIGINT, SIGUSR1 and SIGHUP in this thread and those that it starts
-/// later, and ignores SIGPIPE; must be called before any thread is started.
+/// Blocks SIGTERM, SIGINT, SIGUSR1 and SIGHUP in this thread and those that it
+/// starts later, and ignores SIGPIPE; must be called before any thread is
+/// started.
 Result<void> blockSignals();
 
 /// Waits for the next request, at most for the given time.
--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -16,32 +16,33 @@
 
 /// Every decision that touches a flow or changes what a process believes.
 enum class Decision : std::uint8_t {
-  OpeningSent,         ///< A balancer sent an opening to the first candidate.
-  OpeningRepeated,     ///< The caller's copy went to the agent that took it.
-  OpeningResent,       ///< No agent answered in time, others are asked.
-  OwnerLearned,        ///< An agent reported that it holds the flow.
-  OwnerSought,         ///< The balancer does not know who holds the flow.
-  RefusedNoRoute,      ///< No route has the address.
-  RefusedNoUpstream,   ///< The service has no upstream that takes new flows.
-  PacketWithoutRoute,  ///< No route and no known owner.
-  OpeningTaken,        ///< An agent handed the opening to its upstream.
-  OpeningPassedOn,     ///< The upstream is busy, silent or leaving.
-  OpeningReturned,     ///< The upstream could not accept the opening.
-  OpeningRefused,      ///< No candidate can serve the opening in time.
-  OpeningDropped,      ///< The agent leaves and there is no other candidate.
-  PacketReturned,      ///< The upstream does not hold the flow.
-  OwnerNotFound,       ///< No candidate holds the flow.
-  WrongService,        ///< The packet is for another service.
-  AgentSuspected,      ///< An agent does not answer.
-  AgentLeaving,        ///< An agent takes no new flows.
-  AgentRegained,       ///< An agent answers again.
-  UpstreamSilent,      ///< The upstream does not answer openings.
-  UpstreamAnswers,     ///< The upstream answers again.
-  PauseNoticed,        ///< The process did not run for a while.
+  OpeningSent,        ///< A balancer sent an opening to the first candidate.
+  OpeningRepeated,    ///< The caller's copy went to the agent that took it.
+  OpeningResent,      ///< No agent answered in time, others are asked.
+  OwnerLearned,       ///< An agent reported that it holds the flow.
+  OwnerSought,        ///< The balancer does not know who holds the flow.
+  RefusedNoRoute,     ///< No route has the address.
+  RefusedNoUpstream,  ///< The service has no upstream that takes new flows.
+  PacketWithoutRoute, ///< No route and no known owner.
+  OpeningTaken,       ///< An agent handed the opening to its upstream.
+  OpeningPassedOn,    ///< The upstream is busy, silent or leaving.
+  OpeningReturned,    ///< The upstream could not accept the opening.
+  OpeningHeld,         ///< The opening waits for a free slot.
+  OpeningRefused,     ///< No candidate can serve the opening in time.
+  OpeningDropped,     ///< The agent leaves and there is no other candidate.
+  PacketReturned,     ///< The upstream does not hold the flow.
+  OwnerNotFound,      ///< No candidate holds the flow.
+  WrongService,       ///< The packet is for another service.
+  AgentSuspected,     ///< An agent does not answer.
+  AgentLeaving,       ///< An agent takes no new flows.
+  AgentRegained,      ///< An agent answers again.
+  UpstreamSilent,     ///< The upstream does not answer openings.
+  UpstreamAnswers,    ///< The upstream answers again.
+  PauseNoticed,       ///< The process did not run for a while.
 };
 
 /// Number of members of `Decision`.
-inline constexpr std::size_t DecisionCount = 22;
+inline constexpr std::size_t DecisionCount = 23;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision What);
@@ -91,9 +92,8 @@
 
 /// Any action. Packet bytes stay valid until the next call into the logic or
 /// until the input buffer is reused.
-using SteerAction =
-    std::variant<SendSteer, HandToUpstream, PassToCaller, RefuseCaller,
-                 RecordDecision, ObserveLatency>;
+using SteerAction = std::variant<SendSteer, HandToUpstream, PassToCaller,
+                                 RefuseCaller, RecordDecision, ObserveLatency>;
 
 /// The list that decision logic appends to; the process clears and reuses it.
 using SteerActionList = std::vector<SteerAction>;
--- a/include/mulberryhoist/steer-process.h
+++ b/include/mulberryhoist/steer-process.h
@@ -24,7 +24,8 @@
 
 /// How long a stopping balancer still forwards at least: routers ask twice a
 /// second and leave it out after two misses.
-inline constexpr Duration SteeringMinimumDrain = std::chrono::milliseconds(1200);
+inline constexpr Duration SteeringMinimumDrain =
+    std::chrono::milliseconds(1200);
 
 /// How long no packet must have come before a stopping balancer exits.
 inline constexpr Duration SteeringQuietPeriod = std::chrono::milliseconds(300);
@@ -116,18 +117,17 @@
             Now - (*Path)->lastPacket() >= SteeringQuietPeriod);
   });
   Duties->stop();
-  log(LogLevel::Info, "stopped",
-      {{"after_ms", toMilliseconds(now() - Begin)}});
+  log(LogLevel::Info, "stopped", {{"after_ms", toMilliseconds(now() - Begin)}});
   return {};
 }
 
 /// Runs an agent until it is asked to stop. `Attach` gets a function that names
 /// another upstream and its service.
 template <PacketFormat Format>
-Result<void> runGate(
-    const SteerProcessSettings &Settings, const GateDataSettings &Data,
-    const std::function<void(std::function<void(ServiceId, Endpoint)>)>
-        &Attach) {
+Result<void>
+runGate(const SteerProcessSettings &Settings, const GateDataSettings &Data,
+        const std::function<void(std::function<void(ServiceId, Endpoint)>)>
+            &Attach) {
   const auto Metrics = std::make_shared<prometheus::Registry>();
   auto Path = GateData<Format>::create(Data, *Metrics);
   if (!Path) {
@@ -137,7 +137,8 @@
     (*Path)->setUpstream(Service, Upstream);
   });
   std::atomic<bool> Stopping{false};
-  auto Ready = makeReadyServer(Settings.Ready, [&] { return !Stopping.load(); });
+  auto Ready =
+      makeReadyServer(Settings.Ready, [&] { return !Stopping.load(); });
   if (!Ready) {
     return tl::unexpected<Error>(std::move(Ready.error()));
   }
@@ -145,9 +146,8 @@
   auto Duties = Supervisor::start(
       {{"data",
         [&Path](const std::stop_token &Stop) { return (*Path)->run(Stop); }},
-       {"ready", [&Ready](const std::stop_token &Stop) {
-          return Ready->run(Stop);
-        }}});
+       {"ready",
+        [&Ready](const std::stop_token &Stop) { return Ready->run(Stop); }}});
   if (!Duties) {
     return tl::unexpected<Error>(std::move(Duties.error()));
   }
@@ -158,8 +158,7 @@
   (*Path)->terminate();
   waitUntil([&] { return (*Path)->isDrained(); });
   Duties->stop();
-  log(LogLevel::Info, "stopped",
-      {{"after_ms", toMilliseconds(now() - Begin)}});
+  log(LogLevel::Info, "stopped", {{"after_ms", toMilliseconds(now() - Begin)}});
   return {};
 }
 
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -83,6 +83,8 @@
   std::uint32_t Slots = 1;
   /// The latency objective of the service.
   std::chrono::milliseconds Goal{0};
+  /// How long callers wait for an answer; 0 if it is not known.
+  std::chrono::milliseconds Timeout{0};
   /// The least loaded agent that passed the opening on, if any did.
   Candidate LeastLoaded{0, 0};
   std::uint32_t LeastLoad = 0;
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -47,8 +47,8 @@
   /// Serves the sockets until it is asked to stop; each run begins with fresh
   /// logic, while the sockets stay bound.
   Result<void> run(const std::stop_token &Stop) {
-    SteeringLogic Logic({this->Settings.Peers.Address,
-                         this->Settings.Peers.Port});
+    SteeringLogic Logic(
+        {this->Settings.Peers.Address, this->Settings.Peers.Port});
     SteerActionList Out;
     Out.reserve(SteerActionReserve);
     std::shared_ptr<const Directory> Seen;
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -25,8 +25,9 @@
   Read.Address = {From.at(0).get<std::uint32_t>(),
                   From.at(1).get<std::uint16_t>()};
   Read.Goal = std::chrono::milliseconds(From.at(2).get<std::int64_t>());
-  Read.Class = From.at(3).get<std::uint32_t>();
-  for (const Json &Target : From.at(4)) {
+  Read.Timeout = std::chrono::milliseconds(From.at(3).get<std::int64_t>());
+  Read.Class = From.at(4).get<std::uint32_t>();
+  for (const Json &Target : From.at(5)) {
     Read.Targets.push_back({{Target.at(0).get<std::uint32_t>()},
                             Target.at(1).get<std::uint32_t>()});
   }
@@ -51,7 +52,8 @@
   Json Routes = Json::array();
   for (const Route &Each : From.routes()) {
     Routes.push_back({Each.Address.Address, Each.Address.Port,
-                      Each.Goal.count(), Each.Class, targetsJson(Each)});
+                      Each.Goal.count(), Each.Timeout.count(), Each.Class,
+                      targetsJson(Each)});
   }
   Json Upstreams = Json::array();
   From.forEachUpstream([&Upstreams](const ListedUpstream &Each) {
@@ -104,10 +106,10 @@
       logError(Copy.error());
       continue;
     }
-    const bool IsBetter =
-        !Best || (Copy->SourceAvailable && !Best->SourceAvailable) ||
-        (Copy->SourceAvailable == Best->SourceAvailable &&
-         Copy->Routes.Version > Best->Routes.Version);
+    const bool IsBetter = !Best ||
+                          (Copy->SourceAvailable && !Best->SourceAvailable) ||
+                          (Copy->SourceAvailable == Best->SourceAvailable &&
+                           Copy->Routes.Version > Best->Routes.Version);
     if (IsBetter) {
       Best = std::move(*Copy);
     }
--- a/src/envelope-codec.h
+++ b/src/envelope-codec.h
@@ -29,14 +29,12 @@
 
 /// Maps one family of typed messages to its envelope.
 template <typename T>
-concept EnvelopeSchema =
-    requires(const typename T::Typed &Body, typename T::Envelope &To) {
-      T::encode(Body, To);
-      {
-        T::decode(To)
-      } -> std::same_as<std::optional<typename T::Typed>>;
-      { T::hasPacket(Body) } -> std::same_as<bool>;
-    };
+concept EnvelopeSchema = requires(const typename T::Typed &Body,
+                                  typename T::Envelope &To) {
+  T::encode(Body, To);
+  { T::decode(To) } -> std::same_as<std::optional<typename T::Typed>>;
+  { T::hasPacket(Body) } -> std::same_as<bool>;
+};
 
 /// Encodes and decodes the datagrams of one schema; reuses its buffers.
 template <EnvelopeSchema Schema> class EnvelopeCodec {
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -46,11 +46,13 @@
 
 void GateLogic::onSteer(const Steer &Header, const RoutedPacket &Packet,
                         Instant Now, SteerActionList &Out) {
+  this->Released.clear();
   this->expireOpenings(Now);
+  this->releaseHeld(Now, Out);
   this->noticeBalancer(Header.Balancer);
   if (!Header.Services.contains(this->Settings.Service)) {
-    Out.emplace_back(this->record(Decision::WrongService,
-                                  Packet.View.callerFlow(), Header));
+    Out.emplace_back(
+        this->record(Decision::WrongService, Packet.View.callerFlow(), Header));
     this->passOn(Header, Packet, Out);
     return;
   }
@@ -86,13 +88,17 @@
     Out.emplace_back(HandToUpstream{Packet.Bytes, this->hand(Header)});
     return;
   }
+  if (this->isHeld({Packet.View.callerFlow(), Packet.View.Sequence})) {
+    return;
+  }
   this->noticeSilence(Now, Out);
   if (this->mustPassOn(Header, Now)) {
     this->passOn(Header, Packet, Out);
     return;
   }
   if (this->Load < Header.Slots) {
-    this->take(Header, Packet, Now, Out);
+    this->take(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
+               Packet.Bytes, Now, Out);
     return;
   }
   this->placeBusy(Header, Packet, Now, Out);
@@ -131,10 +137,10 @@
   if (!Header.Final) {
     Steer Onward = Header;
     const bool IsFirst = Header.LeastLoaded.Agent == 0;
-    if (IsFirst || this->Load * Header.LeastLoaded.Slots <
+    if (IsFirst || this->pressure() * Header.LeastLoaded.Slots <
                        Header.LeastLoad * Header.Slots) {
       Onward.LeastLoaded = {this->Settings.Address, Header.Slots};
-      Onward.LeastLoad = this->Load;
+      Onward.LeastLoad = this->pressure();
     }
     if (!Header.Next.empty()) {
       this->passOn(Onward, Packet, Out);
@@ -148,11 +154,16 @@
     }
   }
   if (this->canServeInTime(Header, Packet)) {
-    this->take(Header, Packet, Now, Out);
+    this->take(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
+               Packet.Bytes, Now, Out);
+    return;
+  }
+  if (this->canWait(Header, Packet)) {
+    this->hold(Header, Packet, Now, Out);
     return;
   }
-  Out.emplace_back(this->record(Decision::OpeningRefused,
-                                Packet.View.callerFlow(), Header));
+  Out.emplace_back(
+      this->record(Decision::OpeningRefused, Packet.View.callerFlow(), Header));
   Out.emplace_back(RefuseCaller{Packet.View.callerFlow()});
 }
 
@@ -167,15 +178,70 @@
   return Packet.Waited + Expected <= Header.Goal;
 }
 
-void GateLogic::take(const Steer &Header, const RoutedPacket &Packet,
+bool GateLogic::isHeld(const FlowIncarnation &Flow) const {
+  return std::ranges::any_of(this->Held, [&Flow](const HeldOpening &Each) {
+    return Each.Flow == Flow;
+  });
+}
+
+bool GateLogic::canWait(const Steer &Header, const RoutedPacket &Packet) const {
+  if (!this->ServiceTime || this->Held.size() >= MaxHeldOpenings) {
+    return false;
+  }
+  const auto Before =
+      static_cast<double>(this->pressure() + 1) / Header.Slots;
+  const Duration Expected = std::chrono::duration_cast<Duration>(
+      *this->ServiceTime * Before * HeldSlowdown);
+  return Packet.Waited + Expected + *this->ServiceTime + HeldMargin <=
+         Header.Timeout;
+}
+
+void GateLogic::hold(const Steer &Header, const RoutedPacket &Packet,
                      Instant Now, SteerActionList &Out) {
-  const FlowKey Key = Packet.View.callerFlow();
+  HeldOpening &Each = this->Held.emplace_back();
+  Each.Flow = {Packet.View.callerFlow(), Packet.View.Sequence};
+  Each.Bytes.assign(Packet.Bytes.begin(), Packet.Bytes.end());
+  Each.Header = Header;
+  Each.Since = Now;
+  Each.Until = Now + Header.Timeout - Packet.Waited - *this->ServiceTime -
+               HeldMargin;
+  Out.emplace_back(this->record(Decision::OpeningHeld, Each.Flow.Key, Header));
+  // The balancer need not ask others meanwhile.
+  Out.emplace_back(SendSteer{{Header.Balancer, this->Settings.PeerPort},
+                             Taken{Each.Flow, 0, this->Load, false},
+                             {}});
+}
+
+void GateLogic::releaseHeld(Instant Now, SteerActionList &Out) {
+  while (!this->Held.empty()) {
+    HeldOpening &Each = this->Held.front();
+    const bool IsLate = Now >= Each.Until;
+    if (!IsLate && this->Load >= Each.Header.Slots) {
+      return;
+    }
+    if (IsLate) {
+      RecordDecision Record =
+          this->record(Decision::OpeningRefused, Each.Flow.Key, Each.Header);
+      Record.Age = Now - Each.Since;
+      Out.emplace_back(Record);
+      Out.emplace_back(RefuseCaller{Each.Flow.Key});
+    } else {
+      this->Released.push_back(std::move(Each.Bytes));
+      this->take(Each.Header, Each.Flow, this->Released.back(), Now, Out);
+    }
+    this->Held.pop_front();
+  }
+}
+
+void GateLogic::take(const Steer &Header, const FlowIncarnation &Flow,
+                     PacketBytes Bytes, Instant Now, SteerActionList &Out) {
+  const FlowKey &Key = Flow.Key;
   const std::uint32_t Tag = this->hand(Header);
   if (this->Flows.size() < this->Settings.MaxFlows) {
-    Flow &Each = this->Flows[Key];
+    GateFlow &Each = this->Flows[Key];
     this->endWork(Each);
-    Each = Flow();
-    Each.Initial = Packet.View.Sequence;
+    Each = GateFlow();
+    Each.Initial = Flow.Initial;
     Each.Balancer = Header.Balancer;
     Each.Notify = true;
     Each.LastSeen = Now;
@@ -186,7 +252,7 @@
     this->UnansweredSince = Now;
   }
   Out.emplace_back(this->record(Decision::OpeningTaken, Key, Header));
-  Out.emplace_back(HandToUpstream{Packet.Bytes, Tag});
+  Out.emplace_back(HandToUpstream{Bytes, Tag});
 }
 
 void GateLogic::passOn(const Steer &Header, const RoutedPacket &Packet,
@@ -203,9 +269,9 @@
   const Candidate Next = Onward.Next.takeFirst();
   Onward.Slots = Next.Slots;
   ++Onward.Hops;
-  RecordDecision Record = this->record(
-      IsOpening ? Decision::OpeningPassedOn : Decision::PacketReturned, Key,
-      Header);
+  RecordDecision Record = this->record(IsOpening ? Decision::OpeningPassedOn
+                                                 : Decision::PacketReturned,
+                                       Key, Header);
   Record.Agent = Next.Agent;
   Out.emplace_back(Record);
   Out.emplace_back(
@@ -216,7 +282,7 @@
                              Instant Now, SteerActionList &Out) {
   const auto Known = this->Flows.find(Packet.View.callerFlow());
   if (Known != this->Flows.end()) {
-    Flow &Each = Known->second;
+    GateFlow &Each = Known->second;
     Each.LastSeen = Now;
     Each.Balancer = Header.Balancer;
     Each.Notify = Each.Notify || Header.Notify;
@@ -236,6 +302,7 @@
 
 void GateLogic::onUpstreamPacket(const RoutedPacket &Packet, Instant Now,
                                  SteerActionList &Out) {
+  this->Released.clear();
   if (this->Silent) {
     this->Silent = false;
     RecordDecision Record;
@@ -257,10 +324,10 @@
       return;
     }
     // This agent restarted while the upstream kept the flow.
-    Known = this->Flows.emplace(Key, Flow()).first;
+    Known = this->Flows.emplace(Key, GateFlow()).first;
     Known->second.WorkSince = Now;
   }
-  Flow &Each = Known->second;
+  GateFlow &Each = Known->second;
   Each.LastSeen = Now;
   if (Packet.View.Flags.Syn && Packet.View.Flags.Ack) {
     Each.UpstreamSequence = Packet.View.Sequence;
@@ -285,9 +352,10 @@
   if (Packet.View.Flags.Rst) {
     this->erase(Known);
   }
+  this->releaseHeld(Now, Out);
 }
 
-void GateLogic::noteAnswer(const FlowKey &Key, Flow &Each,
+void GateLogic::noteAnswer(const FlowKey &Key, GateFlow &Each,
                            SteerActionList &Out) {
   if (!Each.Notify || Each.Balancer == 0) {
     return;
@@ -351,14 +419,14 @@
   return Each.Header;
 }
 
-void GateLogic::beginWork(Flow &Each, std::uint32_t Slots, Instant Now) {
+void GateLogic::beginWork(GateFlow &Each, std::uint32_t Slots, Instant Now) {
   Each.FoundFreeSlot = this->Load < Slots;
   Each.Working = true;
   Each.WorkSince = Now;
   ++this->Load;
 }
 
-void GateLogic::endWork(Flow &Each) {
+void GateLogic::endWork(GateFlow &Each) {
   if (Each.Working) {
     Each.Working = false;
     --this->Load;
@@ -377,6 +445,7 @@
   this->Settings.Service = Next;
   this->Flows.clear();
   this->Awaited.clear();
+  this->Held.clear();
   this->Load = 0;
   this->ServiceTime.reset();
   this->Unanswered = 0;
@@ -395,14 +464,16 @@
   }
 }
 
-void GateLogic::onTick(Instant Now) {
+void GateLogic::onTick(Instant Now, SteerActionList &Out) {
+  this->Released.clear();
   this->expireOpenings(Now);
+  this->releaseHeld(Now, Out);
   if (Now < this->NextSweep) {
     return;
   }
   this->NextSweep = Now + SweepPeriod;
   for (auto Each = this->Flows.begin(); Each != this->Flows.end();) {
-    Flow &Known = Each->second;
+    GateFlow &Known = Each->second;
     if (Known.Working && Now - Known.WorkSince >= RequestWorkTimeout) {
       this->endWork(Known);
     }
--- a/src/log.cc
+++ b/src/log.cc
@@ -99,7 +99,8 @@
   return Line;
 }
 
-/// The call locks the stream, so that lines are whole. Nothing can be reported if it fails.
+/// The call locks the stream, so that lines are whole. Nothing can be reported
+/// if it fails.
 void writeNow(std::string_view Text) {
   (void)std::fwrite(Text.data(), 1, Text.size(), stdout);
   (void)std::fflush(stdout);
@@ -127,9 +128,8 @@
 void runWriter(const std::shared_ptr<Backlog> &Waiting) {
   std::unique_lock Guard(Waiting->Lock);
   while (true) {
-    Waiting->Changed.wait(Guard, [&] {
-      return Waiting->Stopping || !Waiting->Lines.empty();
-    });
+    Waiting->Changed.wait(
+        Guard, [&] { return Waiting->Stopping || !Waiting->Lines.empty(); });
     if (!Waiting->Stopping) {
       Waiting->Changed.wait_for(Guard, CollectTime,
                                 [&] { return Waiting->Stopping; });
--- a/src/steer-process.cc
+++ b/src/steer-process.cc
@@ -25,11 +25,11 @@
                                     std::function<bool()> IsReady) {
   auto Server = AdminServer::create(Listen);
   if (Server) {
-    Server->handle("/ready", [IsReady = std::move(IsReady)](
-                                 const AdminQuery &) {
-      return AdminAnswer{IsReady() ? StatusOk : StatusUnavailable,
-                         "application/json", "{}"};
-    });
+    Server->handle(
+        "/ready", [IsReady = std::move(IsReady)](const AdminQuery &) {
+          return AdminAnswer{IsReady() ? StatusOk : StatusUnavailable,
+                             "application/json", "{}"};
+        });
   }
   return Server;
 }
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -44,8 +44,7 @@
   });
   std::vector<std::uint32_t> Seen;
   std::erase_if(List, [&Seen](const Ranked &Each) {
-    const bool IsKnown =
-        std::ranges::find(Seen, Each.Who.Agent) != Seen.end();
+    const bool IsKnown = std::ranges::find(Seen, Each.Who.Agent) != Seen.end();
     Seen.push_back(Each.Who.Agent);
     return IsKnown;
   });
@@ -127,6 +126,7 @@
   Header.Balancer = this->Settings.Address;
   Header.Notify = true;
   Header.Goal = Where->Goal;
+  Header.Timeout = Where->Timeout;
   if (const Holders *Known = this->findHolders(Key);
       Known != nullptr && Known->Initial == Packet.View.Sequence) {
     Header.Final = true;
@@ -269,7 +269,8 @@
   Record.Load = Body.Load;
   ServiceList Services;
   const auto Open = this->Waiting.find(Key);
-  if (Open != this->Waiting.end() && Open->second.Initial == Body.Flow.Initial) {
+  if (Open != this->Waiting.end() &&
+      Open->second.Initial == Body.Flow.Initial) {
     Services = Open->second.Header.Services;
     Record.Age = Now - Open->second.SentAt;
     Out.emplace_back(ObserveLatency{Record.Age});
@@ -340,10 +341,10 @@
   if (!this->NextCheck) {
     this->NextCheck = Known.CheckSentAt + AvoidedCheckPeriod;
   }
-  RecordDecision Record = record(Why == Avoidance::Leaving
-                                     ? Decision::AgentLeaving
-                                     : Decision::AgentSuspected,
-                                 {}, Agent);
+  RecordDecision Record =
+      record(Why == Avoidance::Leaving ? Decision::AgentLeaving
+                                       : Decision::AgentSuspected,
+             {}, Agent);
   Record.Age = Age;
   Out.emplace_back(Record);
 }
@@ -364,8 +365,7 @@
   Out.emplace_back(SendSteer{
       {Agent, this->Settings.PeerPort}, Check{this->NextSequence++}, {}});
   const Instant DueAt = Now + CheckTimeout;
-  this->NextCheck =
-      this->NextCheck ? std::min(*this->NextCheck, DueAt) : DueAt;
+  this->NextCheck = this->NextCheck ? std::min(*this->NextCheck, DueAt) : DueAt;
 }
 
 void SteeringLogic::checkAll(const WaitingOpening &Each, Instant Now,
@@ -404,8 +404,7 @@
     const Due Next = this->DueOpenings.front();
     this->DueOpenings.pop_front();
     const auto Found = this->Waiting.find(Next.Flow);
-    if (Found == this->Waiting.end() ||
-        Found->second.Initial != Next.Initial) {
+    if (Found == this->Waiting.end() || Found->second.Initial != Next.Initial) {
       continue;
     }
     WaitingOpening &Each = Found->second;
