Measure the service time while all slots are busy

While an upstream is saturated, no request found a free slot, so that the estimate stayed as it was.

Change: a service time is assumed at start, and measured from the time between answers while all slots are busy.

--- a/include/mulberryhoist/gate.h
+++ b/include/mulberryhoist/gate.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "mulberryhoist/packet-format.h"
+#include "mulberryhoist/service-time.h"
 #include "mulberryhoist/steer-actions.h"
 
 namespace mulberryhoist {
@@ -112,8 +113,8 @@
   /// Requests that the upstream works on or has in its queue.
   std::uint32_t load() const { return this->Load; }
 
-  /// The mean time of a request that did not wait, once one was measured.
-  std::optional<Duration> serviceTime() const { return this->ServiceTime; }
+  /// The mean time of a request in its slot.
+  Duration serviceTime() const { return this->Work.mean(); }
 
   std::size_t flowCount() const { return this->Flows.size(); }
 
@@ -201,7 +202,9 @@
   /// The bytes of openings that the last event released.
   std::vector<std::vector<std::uint8_t>> Released;
   std::uint32_t Load = 0;
-  std::optional<Duration> ServiceTime;
+  ServiceTime Work;
+  /// Slots of the upstream, as the last message told.
+  std::uint32_t Slots = 1;
   std::vector<Handed> InFlight;
   std::uint32_t NextTag = 1;
   /// Balancers that sent something, to be told when the agent leaves.
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -5,16 +5,9 @@
 namespace mulberryhoist {
 namespace {
 
-/// How much one measured request changes the mean service time.
-constexpr int ServiceTimeWeight = 16;
-
 /// How often expired flows are looked for.
 constexpr Duration SweepPeriod = std::chrono::milliseconds(250);
 
-/// A service time is only believed up to here; longer ones are no queueing
-/// problem but broken requests.
-constexpr Duration LongestServiceTime = std::chrono::seconds(2);
-
 } // namespace
 
 GateLogic::GateLogic(GateSettings Settings, Instant Now)
@@ -50,6 +43,7 @@
   this->expireOpenings(Now);
   this->releaseHeld(Now, Out);
   this->noticeBalancer(Header.Balancer);
+  this->Slots = Header.Slots;
   if (!Header.Services.contains(this->Settings.Service)) {
     Out.emplace_back(
         this->record(Decision::WrongService, Packet.View.callerFlow(), Header));
@@ -169,13 +163,11 @@
 
 bool GateLogic::canServeInTime(const Steer &Header,
                                const RoutedPacket &Packet) const {
-  if (!this->ServiceTime || Header.Goal.count() == 0) {
+  if (Header.Goal.count() == 0) {
     return true;
   }
-  const auto Waiting = static_cast<double>(this->Load + 1 - Header.Slots);
-  const auto Expected = std::chrono::duration_cast<Duration>(
-      *this->ServiceTime * (1.0 + Waiting / Header.Slots));
-  return Packet.Waited + Expected <= Header.Goal;
+  return Packet.Waited + this->Work.expected(this->Load, Header.Slots) <=
+         Header.Goal;
 }
 
 bool GateLogic::isHeld(const FlowIncarnation &Flow) const {
@@ -185,14 +177,14 @@
 }
 
 bool GateLogic::canWait(const Steer &Header, const RoutedPacket &Packet) const {
-  if (!this->ServiceTime || this->Held.size() >= MaxHeldOpenings) {
+  if (this->Held.size() >= MaxHeldOpenings) {
     return false;
   }
   const auto Before =
       static_cast<double>(this->pressure() + 1) / Header.Slots;
   const Duration Expected = std::chrono::duration_cast<Duration>(
-      *this->ServiceTime * Before * HeldSlowdown);
-  return Packet.Waited + Expected + *this->ServiceTime + HeldMargin <=
+      this->Work.mean() * Before * HeldSlowdown);
+  return Packet.Waited + Expected + this->Work.mean() + HeldMargin <=
          Header.Timeout;
 }
 
@@ -203,7 +195,7 @@
   Each.Bytes.assign(Packet.Bytes.begin(), Packet.Bytes.end());
   Each.Header = Header;
   Each.Since = Now;
-  Each.Until = Now + Header.Timeout - Packet.Waited - *this->ServiceTime -
+  Each.Until = Now + Header.Timeout - Packet.Waited - this->Work.mean() -
                HeldMargin;
   Out.emplace_back(this->record(Decision::OpeningHeld, Each.Flow.Key, Header));
   // The balancer need not ask others meanwhile.
@@ -337,13 +329,10 @@
     if (Each.Working && Each.HasRequest) {
       const Duration Spent = Now - Each.WorkSince;
       Out.emplace_back(ObserveLatency{Spent});
-      if (Each.FoundFreeSlot && Spent < LongestServiceTime) {
-        this->ServiceTime =
-            this->ServiceTime
-                ? *this->ServiceTime +
-                      (Spent - *this->ServiceTime) / ServiceTimeWeight
-                : Spent;
+      if (Each.FoundFreeSlot) {
+        this->Work.addUnqueued(Spent);
       }
+      this->Work.addAnswer(this->Load, this->Slots, Now);
     }
     this->endWork(Each);
     Each.HasRequest = false;
@@ -447,7 +436,7 @@
   this->Awaited.clear();
   this->Held.clear();
   this->Load = 0;
-  this->ServiceTime.reset();
+  this->Work = {};
   this->Unanswered = 0;
   this->Silent = false;
   std::fill(this->InFlight.begin(), this->InFlight.end(), Handed());
