Add a fault soak of the platform's programs

Change: test/soak runs balancers and agents as processes on loopback addresses of their own, with stand-ins of store, routers, upstreams and callers. Faults by seed, in series and overlapping: processes killed, stopped, frozen and hung up, the store busy, refusing, resetting, silent or slow, history dropped, routes published, upstreams crashed, drained and slowed, packets lost. Judged from what callers and upstreams see.

--- a/include/mulberryhoist/gate-data.h
+++ b/include/mulberryhoist/gate-data.h
@@ -54,14 +54,14 @@
     while (!Stop.stop_requested()) {
       const Instant Now = now();
       this->takeRequests(Logic, Out, Now);
-      const bool IsIdle = this->readUpstream(Logic, Out, Now) &
-                          this->readMessages(Logic, Out, Now);
+      const bool HasNoPackets = this->readUpstream(Logic, Out, Now);
+      const bool HasNoMessages = this->readMessages(Logic, Out, Now);
       Logic.onTick(Now, Out);
       this->Output.perform(Out, Now);
       if (Logic.isDrained(Now)) {
         this->Drained = true;
       }
-      if (IsIdle) {
+      if (HasNoPackets && HasNoMessages) {
         const std::array<const DatagramSocket *, 2> Sockets = {
             &this->Peers, &this->FromUpstream};
         DatagramSocket::waitAny(Sockets, LongestWait);
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -55,11 +55,11 @@
     while (!Stop.stop_requested()) {
       const Instant Now = now();
       this->takeDirectory(Logic, Seen);
-      const bool IsIdle = this->readPackets(Logic, Out, Now) &
-                          this->readMessages(Logic, Out, Now);
+      const bool HasNoPackets = this->readPackets(Logic, Out, Now);
+      const bool HasNoMessages = this->readMessages(Logic, Out, Now);
       Logic.onTick(Now, Out);
       this->Output.perform(Out, Now);
-      if (IsIdle) {
+      if (HasNoPackets && HasNoMessages) {
         this->wait(Logic);
       }
     }
--- a/src/envelope-codec.h
+++ b/src/envelope-codec.h
@@ -76,7 +76,7 @@
     if (Schema::hasPacket(*Body) == Packet.empty()) {
       return makeError(ErrorKind::MalformedMessage, "packet does not fit");
     }
-    return Decoded{std::move(*Body), Packet};
+    return Decoded{*Body, Packet};
   }
 
   Result<PacketBytes> encode(const typename Schema::Typed &Body,
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -52,7 +52,7 @@
     : Session(Service, std::string(ServiceName)) {}
 
 Result<PlatformAnswer> PlatformClient::ask(const PlatformQuery &Query,
-                                           std::stop_token Stop) {
+                                           const std::stop_token &Stop) {
   HttpQuery Wanted;
   Wanted.Target = fmt::format("{}?after={}&wait={}", Query.Path, Query.After,
                               Query.Wait.count());
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -136,7 +136,7 @@
   if (!Decoded) {
     return tl::unexpected<Error>(std::move(Decoded.error()));
   }
-  return SteerDatagram{std::move(Decoded->Body), Decoded->Packet};
+  return SteerDatagram{Decoded->Body, Decoded->Packet};
 }
 
 Result<PacketBytes> SteerCodec::encode(const SteerMessage &Body,
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -232,7 +232,7 @@
   if (!Decoded) {
     return tl::unexpected<Error>(std::move(Decoded.error()));
   }
-  return Datagram{std::move(Decoded->Body), Decoded->Packet};
+  return Datagram{Decoded->Body, Decoded->Packet};
 }
 
 Result<PacketBytes> Codec::encode(const Message &Body, PacketBytes Packet) {
--- /dev/null
+++ b/test/soak-test.cc
@@ -0,0 +1,40 @@
+#include "soak/soak.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberryhoist::soak {
+namespace {
+
+struct SeedRow {
+  std::uint64_t Seed;
+  bool HasFaults;
+};
+
+class SoakTest : public testing::TestWithParam<SeedRow> {};
+
+// Guards the promises of the users' pages on the whole path with real
+// processes: at most once, never the wrong service, true refusals, flows that
+// stay, leaving upstreams without new work, and service after the faults.
+TEST_P(SoakTest, KeepsItsPromises) {
+  SoakSettings Settings;
+  Settings.Seed = GetParam().Seed;
+  Settings.HasFaults = GetParam().HasFaults;
+  Settings.Programs = MULBERRY_BINARY_DIR;
+  const auto Report = runSoak(Settings);
+  ASSERT_TRUE(Report.has_value()) << Report.error().Detail;
+  std::string Faults;
+  for (const std::string &Each : Report->Faults) {
+    Faults += Each + '\n';
+  }
+  for (const std::string &Each : Report->Violations) {
+    ADD_FAILURE() << Each << "\nfaults:\n" << Faults;
+  }
+  EXPECT_GT(Report->Served, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest,
+                         testing::Values(SeedRow{1, false}, SeedRow{2, true},
+                                         SeedRow{3, true}));
+
+} // namespace
+} // namespace mulberryhoist::soak
--- /dev/null
+++ b/test/soak/store.h
@@ -0,0 +1,82 @@
+/// \file
+/// A stand-in of the platform's key-value store, with faults.
+
+#ifndef MULBERRYHOIST_TEST_SOAK_STORE_H
+#define MULBERRYHOIST_TEST_SOAK_STORE_H
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <condition_variable>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "mulberryhoist/types.h"
+
+namespace mulberryhoist::soak {
+
+/// How the store treats calls.
+enum class StoreMode : std::uint8_t {
+  Up,
+  Busy,      ///< Status 503.
+  Refusing,  ///< Status 429.
+  Resetting, ///< Connections are reset.
+  Silent,    ///< Calls get no answer, also later.
+  Slow,      ///< Answers take 200 ms.
+};
+
+/// Serves items and watches over HTTP on a loopback address.
+class Store {
+public:
+  explicit Store(Endpoint Listen);
+  ~Store();
+
+  void put(const std::string &Key, std::string Value);
+  void remove(const std::string &Key);
+  void setMode(StoreMode Next);
+  /// Forgets the changes so far, so that older watches get status 410.
+  void dropHistory();
+
+private:
+  struct Change {
+    std::string Key;
+    std::string Value;
+    std::uint64_t Revision = 0;
+    bool Removed = false;
+  };
+
+  struct Answer {
+    unsigned Status = 0;
+    std::string Body;
+  };
+
+  void accept();
+  void serve(boost::asio::ip::tcp::socket &Socket);
+  Answer answer(const std::string &Target);
+  Answer list(const std::string &Prefix);
+  Answer watch(const std::string &Prefix, std::uint64_t After,
+               std::chrono::milliseconds Wait);
+
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::map<std::string, Change> Items;
+  std::vector<Change> History;
+  std::uint64_t Revision = 1;
+  std::uint64_t Forgotten = 0;
+  std::atomic<StoreMode> Mode{StoreMode::Up};
+  std::atomic<bool> Stopping{false};
+  std::list<boost::asio::ip::tcp::socket> Sockets;
+  std::vector<std::jthread> Connections;
+  std::jthread Acceptance;
+};
+
+} // namespace mulberryhoist::soak
+
+#endif // MULBERRYHOIST_TEST_SOAK_STORE_H
