Correct the soak's rate and sequence numbers

On the platform each target draws its own; the flow opens at the one that is acknowledged.

Ruled out: a fault of the programs. The second upstream got the packet as part of a search and is to return it.

--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "mulberryhoist/log.h"
+
 namespace mulberryhoist::soak {
 namespace {
 
@@ -16,6 +18,7 @@
 // processes: at most once, never the wrong service, true refusals, flows that
 // stay, leaving upstreams without new work, and service after the faults.
 TEST_P(SoakTest, KeepsItsPromises) {
+  setUpLog("soak", LogLevel::Warning);
   SoakSettings Settings;
   Settings.Seed = GetParam().Seed;
   Settings.HasFaults = GetParam().HasFaults;
@@ -33,8 +36,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest,
+                         // 113 once ran a request twice, since upstreams of the
+                         // soak gave out the same sequence numbers.
                          testing::Values(SeedRow{1, false}, SeedRow{2, true},
-                                         SeedRow{3, true}));
+                                         SeedRow{113, true}));
 
 } // namespace
 } // namespace mulberryhoist::soak
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -81,8 +81,9 @@
 }
 
 void Callers::begin(Instant Now) {
-  this->NextBegin = std::max(this->NextBegin, Now - milliseconds(50)) +
-                    std::chrono::seconds(1) / this->Settings.RequestsPerSecond;
+  this->NextBegin =
+      std::max(this->NextBegin, Now - milliseconds(50)) +
+      Duration(std::chrono::seconds(1)) / this->Settings.RequestsPerSecond;
   const auto &Ports = this->Settings.ServicePorts;
   const FlowKey Key = {
       {this->Settings.Listen.Address, this->NextPort++},
--- a/test/soak/soak-main.cc
+++ b/test/soak/soak-main.cc
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 #include <span>
 
+#include "mulberryhoist/log.h"
 #include "mulberryhoist/settings.h"
 #include "soak/soak.h"
 
@@ -73,6 +74,7 @@
     fmt::print("{}\n", Parsed ? Parsed->helpText() : Parsed.error().Detail);
     return Parsed ? EXIT_SUCCESS : EXIT_FAILURE;
   }
+  setUpLog("soak", LogLevel::Warning);
   int Failed = 0;
   for (std::int64_t I = 0; I < Parsed->number("seeds"); ++I) {
     soak::SoakSettings Settings;
--- a/test/soak/upstream.cc
+++ b/test/soak/upstream.cc
@@ -13,9 +13,6 @@
 constexpr std::chrono::milliseconds SlowWorkTime{60};
 constexpr std::chrono::milliseconds Turn{2};
 
-/// Far apart, so that no caller's acknowledgment fits two upstreams.
-constexpr std::uint32_t SequenceStep = 100'003;
-
 } // namespace
 
 UpstreamStandIn::UpstreamStandIn(UpstreamSettings Settings, std::string Name,
@@ -23,7 +20,7 @@
     : Settings(Settings), Seen(Seen), Name(std::move(Name)),
       ServicePort(Settings.ServicePort),
       NoNewFlowsAfter(Instant::max().time_since_epoch().count()),
-      NextSequence(Settings.Listen.Address * SequenceStep),
+      Random(Settings.Listen.Address),
       Socket(std::move(*DatagramSocket::create(Settings.Listen))),
       Thread([this](const std::stop_token &Stop) { this->run(Stop); }) {}
 
@@ -86,7 +83,8 @@
     }
     Flow &Known = this->Flows[Key];
     if (IsNew) {
-      Known.Sequence = this->NextSequence += SequenceStep;
+      // As upstreams do: a caller's acknowledgment fits one of them only.
+      Known.Sequence = static_cast<std::uint32_t>(this->Random());
     }
     PacketFields Fields;
     Fields.Source = Key.Service;
--- a/test/soak/upstream.h
+++ b/test/soak/upstream.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -85,7 +86,7 @@
   std::atomic<bool> Slow{false};
   std::atomic<std::uint32_t> Incarnation{0};
   std::atomic<Duration::rep> NoNewFlowsAfter;
-  std::uint32_t NextSequence = 1000;
+  std::mt19937_64 Random;
   DatagramSocket Socket;
   std::jthread Thread;
 };
