--- a/include/mulberryhoist/gate-data.h
+++ b/include/mulberryhoist/gate-data.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <stop_token>
 
 #include "mulberryhoist/gate.h"
@@ -58,6 +59,9 @@
       const bool HasNoMessages = this->readMessages(Logic, Out, Now);
       Logic.onTick(Now, Out);
       this->Output.perform(Out, Now);
+      this->LoadGauge.Set(Logic.load());
+      this->FlowGauge.Set(static_cast<double>(Logic.flowCount()));
+      this->ServiceTimeGauge.Set(toSeconds(Logic.serviceTime()));
       if (Logic.isDrained(Now)) {
         this->Drained = true;
       }
@@ -79,6 +83,16 @@
   /// Begins the drain before the process ends. For any thread.
   void terminate() { this->Terminating = true; }
 
+  /// Writes what the duty believes as JSON. For any thread.
+  std::string dump() const {
+    return jsonText({{"upstream", formatEndpoint(this->Upstream)},
+                     {"service", this->Service.load().Value},
+                     {"load", this->LoadGauge.Value()},
+                     {"flows", this->FlowGauge.Value()},
+                     {"service_time_s", this->ServiceTimeGauge.Value()},
+                     {"stopping", this->Terminating.load()}});
+  }
+
   /// True once the process may exit. For any thread.
   bool isDrained() const { return this->Drained; }
 
@@ -88,6 +102,12 @@
       : Settings(Settings), Errors(Metrics),
         Decisions(Metrics, "request_seconds",
                   "Time from a request to the upstream's first answer"),
+        LoadGauge(makeGauge(Metrics, "upstream_load",
+                            "Requests that the upstream works on or queues")),
+        FlowGauge(makeGauge(Metrics, "remembered_flows",
+                            "Flows that the agent remembers")),
+        ServiceTimeGauge(makeGauge(Metrics, "service_time_seconds",
+                                   "Estimated work of one request")),
         Peers(std::move(Peers)), FromUpstream(std::move(FromUpstream)),
         Output(this->Peers, Settings.CallerPort, this->Decisions, this->Errors),
         Service(Settings.Service), Upstream(Settings.Upstream) {}
@@ -160,6 +180,9 @@
   GateDataSettings Settings;
   ErrorCounters Errors;
   DecisionLog Decisions;
+  prometheus::Gauge &LoadGauge;
+  prometheus::Gauge &FlowGauge;
+  prometheus::Gauge &ServiceTimeGauge;
   DatagramSocket Peers;
   DatagramSocket FromUpstream;
   SteerOutput<Format> Output;
--- a/include/mulberryhoist/steer-process.h
+++ b/include/mulberryhoist/steer-process.h
@@ -143,6 +143,9 @@
     return tl::unexpected<Error>(std::move(Ready.error()));
   }
   Ready->serveMetrics(Metrics);
+  Ready->handle("/dump", [&Path](const AdminQuery &) {
+    return AdminAnswer{StatusOk, "application/json", (*Path)->dump()};
+  });
   auto Duties = Supervisor::start(
       {{"data",
         [&Path](const std::stop_token &Stop) { return (*Path)->run(Stop); }},
@@ -151,7 +154,7 @@
   if (!Duties) {
     return tl::unexpected<Error>(std::move(Duties.error()));
   }
-  serveUntilStopped(Settings, [] { return std::string("{}"); });
+  serveUntilStopped(Settings, [&Path] { return (*Path)->dump(); });
   Stopping = true;
   const Instant Begin = now();
   log(LogLevel::Info, "stopping");
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -484,7 +484,7 @@
   if (Since >= GateDrainDeadline) {
     return true;
   }
-  return Since >= GateMinimumDrain && this->Load == 0 &&
+  return Since >= GateMinimumDrain && this->Load == 0 && this->Held.empty() &&
          Now - this->LastFlowPacket >= GateQuietPeriod;
 }
 
--- a/test/gate-test.cc
+++ b/test/gate-test.cc
@@ -250,6 +250,24 @@
   EXPECT_TRUE(this->Gate.isDrained(this->Now));
 }
 
+// Guards against an opening that waits for a slot and is forgotten by a stop.
+TEST_F(GateTest, LeavingAgentServesTheOpeningsThatItHolds) {
+  this->fillSlots();
+  Steer Last = header();
+  Last.Final = true;
+  (void)this->steer(Last, opening(9, milliseconds(600)));
+  SteerActionList Out;
+  this->Gate.onTerminate(this->Now, Out);
+  for (std::uint16_t Port = 1; Port <= 4; ++Port) {
+    Out = this->fromUpstream(answer(Port, false));
+    EXPECT_EQ(only<HandToUpstream>(Out).size(), Port == 1 ? 1U : 0U);
+  }
+  this->Now += GateQuietPeriod;
+  SteerActionList Ignored;
+  this->Gate.onTick(this->Now, Ignored);
+  EXPECT_TRUE(this->Gate.isDrained(this->Now));
+}
+
 TEST_F(GateTest, StopHasADeadline) {
   this->beginRequest(1);
   SteerActionList Out;
