Let the newest entry of an address decide, and schedule openings once

Two findings of the soak.

Cause: it had restarted under another name, and its old entry was still listed as ready at the same address. Now the entry that was registered last decides for an address.

Cause: a caller's copy of an opening that waits scheduled it twice; when one turn sent it anew and gave it up, the bytes were freed before they were sent. Now a copy takes over the schedule.

The tests in steering-test and directory-test failed before.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -75,6 +75,8 @@
   std::uint32_t Address = 0;
   std::uint32_t Slots = 1;
   UpstreamState State = UpstreamState::Ready;
+  /// Orders the registrations at the source: the greater one is newer.
+  std::uint64_t Registered = 0;
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -41,6 +41,7 @@
   Read.Service = {From.at("service").get<std::uint32_t>()};
   Read.Address = From.at("address").get<std::uint32_t>();
   Read.Slots = From.at("slots").get<std::uint32_t>();
+  Read.Registered = From.at("registered").get<std::uint64_t>();
   Read.State = From.at("ready").get<bool>() ? UpstreamState::Ready
                                             : UpstreamState::Draining;
   return Read;
@@ -62,6 +63,7 @@
                            {"service", Each.Service.Value},
                            {"address", Each.Address},
                            {"slots", Each.Slots},
+                           {"registered", Each.Registered},
                            {"ready", Each.State == UpstreamState::Ready}});
     }
   });
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -179,10 +179,20 @@
 
 std::shared_ptr<const Directory> DirectoryKeeper::current() {
   if (this->Built == nullptr) {
+    // An upstream that restarted may be listed under its old name too, until
+    // that entry lapses; only the newest entry of an address counts.
+    std::unordered_map<std::uint32_t, std::uint64_t> Newest;
+    for (const auto &[Name, Each] : this->Entries) {
+      std::uint64_t &Last = Newest[Each.Listed.Address];
+      Last = std::max(Last, Each.Listed.Registered);
+    }
     std::vector<ListedUpstream> All;
     All.reserve(this->Entries.size());
     for (const auto &[Name, Each] : this->Entries) {
       All.push_back(Each.Listed);
+      if (Each.Listed.Registered < Newest[Each.Listed.Address]) {
+        All.back().State = UpstreamState::Gone;
+      }
     }
     this->Built = std::make_shared<const Directory>(this->Routes, All);
   }
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -164,14 +164,19 @@
   if (this->Waiting.size() >= MaxWaitingOpenings) {
     return;
   }
-  WaitingOpening &Each = this->Waiting[Key];
+  const auto [Found, IsNew] = this->Waiting.try_emplace(Key);
+  WaitingOpening &Each = Found->second;
+  // A copy of the caller takes over the schedule of the first one.
+  const bool IsScheduled = !IsNew && Each.Initial == Packet.View.Sequence;
   Each.Bytes.assign(Packet.Bytes.begin(), Packet.Bytes.end());
   Each.Initial = Packet.View.Sequence;
   Each.Header = Header;
   Each.First = First;
   Each.SentAt = Now;
   Each.Resends = 0;
-  this->DueOpenings.push_back({Now + ResendDelay, Key, Each.Initial});
+  if (!IsScheduled) {
+    this->DueOpenings.push_back({Now + ResendDelay, Key, Each.Initial});
+  }
 }
 
 void SteeringLogic::onFlowPacket(const RoutedPacket &Packet,
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -87,6 +87,25 @@
   EXPECT_EQ(this->stateOf(1), UpstreamState::Gone);
 }
 
+// Guards against new work at an upstream that leaves, by the entry that it had
+// before it restarted (soak, seeds 103 and 118).
+TEST_F(KeeperTest, NewestEntryOfAnAddressDecides) {
+  ListedUpstream Restarted = upstream(5, UpstreamState::Draining);
+  Restarted.Address = agentAddress(1);
+  Restarted.Registered = 2;
+  ListedUpstream Old = upstream(1);
+  Old.Registered = 1;
+  this->Keeper.onListing({Restarted, Old}, this->Now);
+  const auto InForce = this->Keeper.current();
+  for (const ListedUpstream &Each : InForce->upstreams(OrderService)) {
+    EXPECT_NE(Each.State, UpstreamState::Ready) << Each.Name;
+  }
+  EXPECT_TRUE(InForce->hasAgent(agentAddress(1)));
+  // Once the newer entry is gone, the older one counts no more than before.
+  this->Keeper.onRemoved("i-5", this->Now);
+  EXPECT_FALSE(this->Keeper.current()->hasAgent(agentAddress(1)));
+}
+
 TEST_F(KeeperTest, CopyOfAnotherBalancerRemovesNothing) {
   this->Keeper.onListing({upstream(1)}, this->Now);
   this->Keeper.onCopy({upstream(2)});
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -47,6 +47,7 @@
     std::string Key;
     std::string Value;
     std::uint64_t Revision = 0;
+    std::uint64_t Created = 0;
     bool Removed = false;
   };
 
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -164,6 +164,23 @@
   EXPECT_TRUE(sent<Steer>(this->tick(ResendDelay)).empty());
 }
 
+// Guards against an opening that is given up in the turn that sends it anew, so
+// that the bytes to send are freed (soak, seed 114: an upstream got a packet of
+// other bytes).
+TEST_F(SteeringTest, CallersCopyDoesNotScheduleAnOpeningTwice) {
+  (void)this->packet(opening(9));
+  (void)this->tick(ResendDelay);
+  this->Now += ResendDelay - milliseconds(1);
+  (void)this->packet(opening(9, milliseconds(200)));
+  (void)this->tick(milliseconds(1));
+  for (int I = 0; I < 4; ++I) {
+    const auto Out = this->tick(ResendDelay);
+    if (!sent<Steer>(Out).empty()) {
+      EXPECT_EQ(this->Logic.waitingCount(), 1U);
+    }
+  }
+}
+
 TEST_F(SteeringTest, ResendsAreBounded) {
   (void)this->packet(opening(9));
   std::size_t Resends = 0;
