--- a/include/mulberryhoist/gate-data.h
+++ b/include/mulberryhoist/gate-data.h
@@ -121,39 +121,29 @@
     }
   }
 
-  /// Reads what is waiting, up to a limit; true if nothing is left.
   bool readUpstream(GateLogic &Logic, SteerActionList &Out, Instant Now) {
-    for (int I = 0; I < DatagramsPerTurn; ++I) {
-      const auto Received = this->FromUpstream.receive();
-      if (!Received) {
-        return true;
-      }
-      const auto Packet = Format::parse(Received->Bytes);
-      if (!Packet) {
-        this->Output.report(Packet.error(), Now);
-        continue;
-      }
-      Logic.onUpstreamPacket(*Packet, Now, Out);
-      this->Output.perform(Out, Now);
-    }
-    return false;
+    return readWaiting(this->FromUpstream,
+                       [&](const ReceivedDatagram &Received) {
+                         const auto Packet = Format::parse(Received.Bytes);
+                         if (!Packet) {
+                           this->Output.report(Packet.error(), Now);
+                           return;
+                         }
+                         Logic.onUpstreamPacket(*Packet, Now, Out);
+                         this->Output.perform(Out, Now);
+                       });
   }
 
   bool readMessages(GateLogic &Logic, SteerActionList &Out, Instant Now) {
-    for (int I = 0; I < DatagramsPerTurn; ++I) {
-      const auto Received = this->Peers.receive();
-      if (!Received) {
-        return true;
-      }
-      const auto Decoded = this->Codec.decode(Received->Bytes);
+    return readWaiting(this->Peers, [&](const ReceivedDatagram &Received) {
+      const auto Decoded = this->Codec.decode(Received.Bytes);
       if (!Decoded) {
         this->Output.report(Decoded.error(), Now);
-        continue;
+        return;
       }
-      this->takeMessage(Logic, Received->From, *Decoded, Out, Now);
+      this->takeMessage(Logic, Received.From, *Decoded, Out, Now);
       this->Output.perform(Out, Now);
-    }
-    return false;
+    });
   }
 
   void takeMessage(GateLogic &Logic, Endpoint From, const SteerDatagram &Input,
--- a/include/mulberryhoist/steer-io.h
+++ b/include/mulberryhoist/steer-io.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <concepts>
 #include <vector>
 
 #include "mulberryhoist/datagram.h"
@@ -25,6 +26,19 @@
 /// Actions that one event can cause without allocation.
 inline constexpr std::size_t SteerActionReserve = 64;
 
+/// Reads what waits in a socket, up to a limit; true if nothing is left.
+template <std::invocable<const ReceivedDatagram &> Handler>
+bool readWaiting(DatagramSocket &Socket, const Handler &Take) {
+  for (int I = 0; I < DatagramsPerTurn; ++I) {
+    const auto Received = Socket.receive();
+    if (!Received) {
+      return true;
+    }
+    Take(*Received);
+  }
+  return false;
+}
+
 /// Carries out actions; `Format` is the format of the packets.
 template <PacketFormat Format> class SteerOutput {
 public:
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -92,49 +92,44 @@
     }
   }
 
-  /// Reads what is waiting, up to a limit; true if nothing is left.
   bool readPackets(SteeringLogic &Logic, SteerActionList &Out, Instant Now) {
-    for (int I = 0; I < DatagramsPerTurn; ++I) {
-      const auto Received = this->Packets.receive();
-      if (!Received) {
-        return true;
-      }
+    return readWaiting(this->Packets, [&](const ReceivedDatagram &Received) {
       this->LastPacket.store(Now.time_since_epoch().count(),
                              std::memory_order_relaxed);
-      const auto Packet = Format::parse(Received->Bytes);
+      const auto Packet = Format::parse(Received.Bytes);
       if (!Packet) {
         this->Output.report(Packet.error(), Now);
-        continue;
+        return;
       }
       Logic.onCallerPacket(*Packet, Now, Out);
       this->Output.perform(Out, Now);
-    }
-    return false;
+    });
   }
 
   bool readMessages(SteeringLogic &Logic, SteerActionList &Out, Instant Now) {
-    for (int I = 0; I < DatagramsPerTurn; ++I) {
-      const auto Received = this->Peers.receive();
-      if (!Received) {
-        return true;
-      }
-      const auto Decoded = this->Codec.decode(Received->Bytes);
+    return readWaiting(this->Peers, [&](const ReceivedDatagram &Received) {
+      const auto Decoded = this->Codec.decode(Received.Bytes);
       if (!Decoded) {
         this->Output.report(Decoded.error(), Now);
-        continue;
-      }
-      if (const auto *Notice = std::get_if<Taken>(&Decoded->Body)) {
-        Logic.onTaken(Received->From, *Notice, Now, Out);
-      } else if (const auto *Reply = std::get_if<CheckReply>(&Decoded->Body)) {
-        Logic.onCheckReply(Received->From, *Reply, Now, Out);
-      } else {
-        this->Output.report({ErrorKind::MalformedMessage,
-                             "a balancer got a message for agents"},
-                            Now);
+        return;
       }
+      this->takeMessage(Logic, Received.From, Decoded->Body, Out, Now);
       this->Output.perform(Out, Now);
+    });
+  }
+
+  void takeMessage(SteeringLogic &Logic, Endpoint From,
+                   const SteerMessage &Body, SteerActionList &Out,
+                   Instant Now) {
+    if (const auto *Notice = std::get_if<Taken>(&Body)) {
+      Logic.onTaken(From, *Notice, Now, Out);
+    } else if (const auto *Reply = std::get_if<CheckReply>(&Body)) {
+      Logic.onCheckReply(From, *Reply, Now, Out);
+    } else {
+      this->Output.report(
+          {ErrorKind::MalformedMessage, "a balancer got a message for agents"},
+          Now);
     }
-    return false;
   }
 
   void wait(const SteeringLogic &Logic) {
