--- a/include/mulberryhoist/steer-process.h
+++ b/include/mulberryhoist/steer-process.h
@@ -18,9 +18,8 @@
 
 namespace mulberryhoist {
 
-/// How often a running process looks for changed settings and grown-old
-/// beliefs.
-inline constexpr Duration CarePeriod = std::chrono::milliseconds(250);
+/// How often a running process looks for changed settings and expired entries.
+inline constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(250);
 
 /// How long a stopping balancer still forwards at least: routers ask twice a
 /// second and leave it out after two misses.
@@ -36,16 +35,15 @@
 
 /// The settings that both processes have.
 struct SteerProcessSettings {
-  std::string Name;
   /// Where the platform asks whether the process is ready.
   Endpoint Ready;
   /// Where metrics and the state dump are served.
   std::optional<Endpoint> Control;
-  /// Called about every `CarePeriod`, and with true after SIGHUP.
-  std::function<void(bool)> Care;
+  /// Called about every `HousekeepingPeriod`, and at once after SIGHUP.
+  std::function<void()> Housekeep;
 };
 
-/// Waits for SIGTERM and calls `Settings.Care` meanwhile.
+/// Waits for SIGTERM and calls `Settings.Housekeep` meanwhile.
 void serveUntilStopped(const SteerProcessSettings &Settings,
                        const std::function<std::string()> &MakeDump);
 
--- a/src/steer-process.cc
+++ b/src/steer-process.cc
@@ -13,11 +13,11 @@
   log(LogLevel::Info, "started", {{"version", ProductVersion}});
   std::optional<SignalRequest> Request;
   while (Request != SignalRequest::Stop) {
-    Request = waitForSignal(CarePeriod);
+    Request = waitForSignal(HousekeepingPeriod);
     if (Request == SignalRequest::Dump) {
       logStateDump(MakeDump());
     }
-    Settings.Care(Request == SignalRequest::Reload);
+    Settings.Housekeep();
   }
 }
 
