Remove unused accessors and a second copy of a status code

Found in the last reading: two accessors that nobody called and the member behind one, a status code and a JSON alias that process.h has, and a comment on how a value was chosen. No change of behaviour.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -111,11 +111,9 @@
   }
 
   std::span<const Route> routes() const { return this->Routes; }
-  std::size_t upstreamCount() const { return this->Upstreams; }
 
 private:
   std::uint64_t Version;
-  std::size_t Upstreams;
   std::vector<Route> Routes;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
--- a/include/mulberryhoist/gate.h
+++ b/include/mulberryhoist/gate.h
@@ -58,8 +58,8 @@
 /// one retransmission of an upstream (200 ms) and some delay.
 inline constexpr Duration GateQuietPeriod = std::chrono::milliseconds(250);
 
-/// How much longer than expected a request may take and still reach its goal;
-/// of 1, 1.25 and 1.6, this measured best after a return of power.
+/// How much longer than expected a request may take and still reach its goal:
+/// the work of a request varies by half of its mean.
 inline constexpr double GoalReserve = 1.25;
 
 /// The most openings that wait for a free slot at one agent.
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -95,9 +95,6 @@
   /// Whether an agent is avoided.
   Avoidance avoidance(std::uint32_t Agent) const;
 
-  std::size_t holderCount() const {
-    return this->Young.size() + this->Old.size();
-  }
   std::size_t waitingCount() const { return this->Waiting.size(); }
 
 private:
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -4,14 +4,11 @@
 
 #include "mulberryhoist/http-client.h"
 #include "mulberryhoist/log.h"
+#include "mulberryhoist/process.h"
 
 namespace mulberryhoist {
 namespace {
 
-using Json = nlohmann::json;
-
-constexpr unsigned StatusOk = 200;
-
 Json targetsJson(const Route &Each) {
   Json Targets = Json::array();
   for (const RouteTarget &Target : Each.Targets) {
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -32,8 +32,7 @@
 }
 
 Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams)
-    : Version(Routes.Version), Upstreams(Upstreams.size()),
-      Routes(std::move(Routes.Routes)) {
+    : Version(Routes.Version), Routes(std::move(Routes.Routes)) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
