--- a/include/mulberryhoist/gate.h
+++ b/include/mulberryhoist/gate.h
@@ -175,6 +175,8 @@
   void hold(const Steer &Header, const RoutedPacket &Packet, Instant Now,
             SteerActionList &Out);
   void releaseHeld(Instant Now, SteerActionList &Out);
+  void refuse(const Steer &Header, const FlowIncarnation &Flow, Duration Held,
+              SteerActionList &Out);
   /// What counts when agents are compared: work and openings that wait for it.
   std::uint32_t pressure() const {
     return this->Load + static_cast<std::uint32_t>(this->Held.size());
--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -20,6 +20,7 @@
   OpeningRepeated,    ///< The caller's copy went to the agent that took it.
   OpeningResent,      ///< No agent answered in time, others are asked.
   OwnerLearned,       ///< An agent reported that it holds the flow.
+  RefusalLearned,     ///< An agent reported that it refused the opening.
   OwnerSought,        ///< The balancer does not know who holds the flow.
   RefusedNoRoute,     ///< No route has the address.
   RefusedNoUpstream,  ///< The service has no upstream that takes new flows.
@@ -42,7 +43,7 @@
 };
 
 /// Number of members of `Decision`.
-inline constexpr std::size_t DecisionCount = 23;
+inline constexpr std::size_t DecisionCount = 24;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision What);
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -100,6 +100,12 @@
   bool Leaving = false;
 };
 
+/// Tells a balancer that an opening was refused, so that it asks no others; the
+/// caller knows already.
+struct Refused {
+  FlowIncarnation Flow;
+};
+
 /// Asks an agent whether it answers.
 struct Check {
   std::uint64_t Sequence = 0;
@@ -112,7 +118,7 @@
 };
 
 /// Any message of the steered path.
-using SteerMessage = std::variant<Steer, Taken, Check, CheckReply>;
+using SteerMessage = std::variant<Steer, Taken, Refused, Check, CheckReply>;
 
 /// A decoded datagram; `Packet` points into the decoded bytes.
 struct SteerDatagram {
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -123,6 +123,8 @@
                    Instant Now) {
     if (const auto *Notice = std::get_if<Taken>(&Body)) {
       Logic.onTaken(From, *Notice, Now, Out);
+    } else if (const auto *Refusal = std::get_if<Refused>(&Body)) {
+      Logic.onRefused(From, *Refusal, Now, Out);
     } else if (const auto *Reply = std::get_if<CheckReply>(&Body)) {
       Logic.onCheckReply(From, *Reply, Now, Out);
     } else {
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -82,6 +82,10 @@
   void onTaken(Endpoint From, const Taken &Body, Instant Now,
                SteerActionList &Out);
 
+  /// An agent refused an opening.
+  void onRefused(Endpoint From, const Refused &Body, Instant Now,
+                 SteerActionList &Out);
+
   /// An agent answered a check, or says that it leaves.
   void onCheckReply(Endpoint From, const CheckReply &Body, Instant Now,
                     SteerActionList &Out);
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -156,9 +156,19 @@
     this->hold(Header, Packet, Now, Out);
     return;
   }
+  this->refuse(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
+               Duration::zero(), Out);
+}
+
+void GateLogic::refuse(const Steer &Header, const FlowIncarnation &Flow,
+                       Duration Held, SteerActionList &Out) {
+  RecordDecision Record =
+      this->record(Decision::OpeningRefused, Flow.Key, Header);
+  Record.Age = Held;
+  Out.emplace_back(Record);
+  Out.emplace_back(RefuseCaller{Flow.Key});
   Out.emplace_back(
-      this->record(Decision::OpeningRefused, Packet.View.callerFlow(), Header));
-  Out.emplace_back(RefuseCaller{Packet.View.callerFlow()});
+      SendSteer{{Header.Balancer, this->Settings.PeerPort}, Refused{Flow}, {}});
 }
 
 bool GateLogic::canServeInTime(const Steer &Header,
@@ -213,11 +223,7 @@
       return;
     }
     if (IsLate) {
-      RecordDecision Record =
-          this->record(Decision::OpeningRefused, Each.Flow.Key, Each.Header);
-      Record.Age = Now - Each.Since;
-      Out.emplace_back(Record);
-      Out.emplace_back(RefuseCaller{Each.Flow.Key});
+      this->refuse(Each.Header, Each.Flow, Now - Each.Since, Out);
     } else {
       this->Released.push_back(std::move(Each.Bytes));
       this->take(Each.Header, Each.Flow, this->Released.back(), Now, Out);
@@ -388,8 +394,7 @@
     this->passOn(Onward, Packet, Out);
     return;
   }
-  Out.emplace_back(this->record(Decision::OpeningRefused, Key, *Header));
-  Out.emplace_back(RefuseCaller{Key});
+  this->refuse(*Header, {Key, Packet.View.Sequence}, Duration::zero(), Out);
 }
 
 std::uint32_t GateLogic::hand(const Steer &Header) {
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -39,6 +39,10 @@
   To.set_leaving(From.Leaving);
 }
 
+void write(const Refused &From, proto::SteerEnvelope &Envelope) {
+  detail::writeFlow(From.Flow, *Envelope.mutable_refused()->mutable_flow());
+}
+
 void write(const Check &From, proto::SteerEnvelope &Envelope) {
   Envelope.mutable_check()->set_sequence(From.Sequence);
 }
@@ -89,6 +93,11 @@
   return Taken{*Flow, From.sequence(), From.load(), From.leaving()};
 }
 
+std::optional<SteerMessage> read(const proto::Refused &From) {
+  const auto Flow = detail::readFlow(From);
+  return Flow ? std::optional<SteerMessage>(Refused{*Flow}) : std::nullopt;
+}
+
 /// The messages of the steered path; only `Steer` has a packet.
 struct Schema {
   using Typed = SteerMessage;
@@ -104,6 +113,8 @@
       return read(From.steer());
     case Envelope::kTaken:
       return read(From.taken());
+    case Envelope::kRefused:
+      return read(From.refused());
     case Envelope::kCheck:
       return Check{From.check().sequence()};
     case Envelope::kCheckReply:
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -312,6 +312,21 @@
   }
 }
 
+void SteeringLogic::onRefused(Endpoint From, const Refused &Body, Instant Now,
+                              SteerActionList &Out) {
+  this->hear(From.Address, false, Now, Out);
+  const auto Open = this->Waiting.find(Body.Flow.Key);
+  if (Open == this->Waiting.end() ||
+      Open->second.Initial != Body.Flow.Initial) {
+    return;
+  }
+  RecordDecision Record =
+      record(Decision::RefusalLearned, Body.Flow.Key, From.Address);
+  Record.Age = Now - Open->second.SentAt;
+  Out.emplace_back(Record);
+  this->Waiting.erase(Open);
+}
+
 Avoidance SteeringLogic::avoidance(std::uint32_t Agent) const {
   const auto Found = this->Agents.find(Agent);
   return Found == this->Agents.end() ? Avoidance::None : Found->second.Avoided;
--- a/test/gate-test.cc
+++ b/test/gate-test.cc
@@ -214,6 +214,28 @@
   EXPECT_EQ(only<RefuseCaller>(Out).size(), 1U);
 }
 
+// Guards against a balancer that sends a refused opening to others.
+TEST_F(GateTest, RefusalIsReportedToTheBalancer) {
+  const auto ExpectNotice = [](const SteerActionList &Out) {
+    const auto Notices = sent<Refused>(Out);
+    ASSERT_EQ(Notices.size(), 1U);
+    EXPECT_EQ(Notices[0].first, BalancerAddress);
+    EXPECT_EQ(Notices[0].second.Flow, (FlowIncarnation{flowOf(9), 9}));
+  };
+  const auto Handed = only<HandToUpstream>(this->steer(header(), opening(9)));
+  ExpectNotice(this->fromUpstream(returned(opening(9), Handed[0].Tag)));
+  this->fillSlots();
+  Steer Last = header();
+  Last.Final = true;
+  Last.Timeout = milliseconds(700);
+  ExpectNotice(this->steer(Last, opening(9, milliseconds(600))));
+  Last.Timeout = milliseconds(1200);
+  (void)this->steer(Last, opening(9, milliseconds(600)));
+  SteerActionList Out;
+  this->Gate.onTick(this->Now + milliseconds(600), Out);
+  ExpectNotice(Out);
+}
+
 TEST_F(GateTest, SilentUpstreamGetsOnlyTrials) {
   for (std::uint16_t Port = 1; Port <= 2; ++Port) {
     (void)this->steer(header(), opening(Port));
--- a/test/steer-wire-test.cc
+++ b/test/steer-wire-test.cc
@@ -66,6 +66,16 @@
   EXPECT_TRUE(To.Leaving);
 }
 
+TEST(SteerWireTest, RefusalKeepsItsFlow) {
+  SteerCodec Codec;
+  const auto Encoded = Codec.encode(Refused{{flowOf(9), 77}});
+  const std::vector<std::uint8_t> Bytes(Encoded->begin(), Encoded->end());
+  const auto Decoded = Codec.decode(Bytes);
+  ASSERT_TRUE(Decoded.has_value());
+  EXPECT_EQ(std::get<Refused>(Decoded->Body).Flow,
+            (FlowIncarnation{flowOf(9), 77}));
+}
+
 // Guards against a crash by datagrams of strangers.
 TEST(SteerWireTest, EveryTruncationIsATypedError) {
   SteerCodec Codec;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -164,6 +164,24 @@
   EXPECT_TRUE(sent<Steer>(this->tick(ResendDelay)).empty());
 }
 
+// Guards against load that refusals add when all upstreams are busy: a refused
+// opening went to all candidates again, twice.
+TEST_F(SteeringTest, RefusedOpeningIsNotSentAgain) {
+  (void)this->packet(opening(9));
+  SteerActionList Out;
+  // A notice of an earlier flow of the same address ends nothing.
+  this->Logic.onRefused({agentAddress(3), PeerPort}, {{flowOf(9), 8}},
+                        this->Now, Out);
+  EXPECT_EQ(this->Logic.waitingCount(), 1U);
+  this->Logic.onRefused({agentAddress(3), PeerPort}, {{flowOf(9), 9}},
+                        this->Now, Out);
+  EXPECT_TRUE(decided(Out, Decision::RefusalLearned));
+  EXPECT_EQ(this->Logic.waitingCount(), 0U);
+  const auto Later = this->tick(ResendDelay);
+  EXPECT_TRUE(sent<Steer>(Later).empty());
+  EXPECT_TRUE(sent<Check>(Later).empty());
+}
+
 // Guards against an opening that is given up in the turn that sends it anew, so
 // that the bytes to send are freed (soak, seed 114: an upstream got a packet of
 // other bytes).
