--- a/include/mulberryhoist/gate.h
+++ b/include/mulberryhoist/gate.h
@@ -17,8 +17,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mulberryhoist/opening-queue.h"
 #include "mulberryhoist/packet-format.h"
-#include "mulberryhoist/service-time.h"
 #include "mulberryhoist/steer-actions.h"
 
 namespace mulberryhoist {
@@ -58,21 +58,6 @@
 /// one retransmission of an upstream (200 ms) and some delay.
 inline constexpr Duration GateQuietPeriod = std::chrono::milliseconds(250);
 
-/// How much longer than expected a request may take and still reach its goal:
-/// the work of a request varies by half of its mean.
-inline constexpr double GoalReserve = 1.25;
-
-/// The most openings that wait for a free slot at one agent.
-inline constexpr std::size_t MaxHeldOpenings = 256;
-
-/// How many times longer an opening waits than the requests before it take,
-/// since new openings that can be served in time go first.
-inline constexpr int HeldSlowdown = 2;
-
-/// What remains for the way to the caller and its request when the wait of an
-/// opening ends.
-inline constexpr Duration HeldMargin = std::chrono::milliseconds(100);
-
 /// The settings of the gate.
 struct GateSettings {
   /// The service of the upstream beside the agent.
@@ -149,15 +134,6 @@
     Steer Header;
   };
 
-  /// An opening that waits for a free slot.
-  struct HeldOpening {
-    FlowIncarnation Flow;
-    std::vector<std::uint8_t> Bytes;
-    Steer Header;
-    Instant Since;
-    Instant Until;
-  };
-
   using FlowMap = std::unordered_map<FlowKey, GateFlow>;
 
   /// Packets that can be under way to the upstream and back; it answers within
@@ -170,18 +146,16 @@
   bool mustPassOn(const Steer &Header, Instant Now);
   void placeBusy(const Steer &Header, const RoutedPacket &Packet, Instant Now,
                  SteerActionList &Out);
-  bool isHeld(const FlowIncarnation &Flow) const;
-  bool canWait(const Steer &Header, const RoutedPacket &Packet) const;
   void hold(const Steer &Header, const RoutedPacket &Packet, Instant Now,
             SteerActionList &Out);
   void releaseHeld(Instant Now, SteerActionList &Out);
   void refuse(const Steer &Header, const FlowIncarnation &Flow, Duration Held,
               SteerActionList &Out);
   /// What counts when agents are compared: work and openings that wait for it.
-  std::uint32_t pressure() const {
-    return this->Load + static_cast<std::uint32_t>(this->Held.size());
+  std::uint32_t pressure() const { return this->Load + this->Held.size(); }
+  UpstreamLoad upstreamLoad(std::uint32_t Slots) const {
+    return {this->Load, Slots, this->Work};
   }
-  bool canServeInTime(const Steer &Header, const RoutedPacket &Packet) const;
   void take(const Steer &Header, const FlowIncarnation &Flow, PacketBytes Bytes,
             Instant Now, SteerActionList &Out);
   void passOn(const Steer &Header, const RoutedPacket &Packet,
@@ -204,7 +178,7 @@
   FlowMap Flows;
   /// In the order of time.
   std::deque<AwaitedRequest> Awaited;
-  std::deque<HeldOpening> Held;
+  OpeningQueue Held;
   /// The bytes of openings that the last event released.
   std::vector<std::vector<std::uint8_t>> Released;
   std::uint32_t Load = 0;
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -82,7 +82,7 @@
     Out.emplace_back(HandToUpstream{Packet.Bytes, this->hand(Header)});
     return;
   }
-  if (this->isHeld({Packet.View.callerFlow(), Packet.View.Sequence})) {
+  if (this->Held.contains({Packet.View.callerFlow(), Packet.View.Sequence})) {
     return;
   }
   this->noticeSilence(Now, Out);
@@ -147,17 +147,19 @@
       return;
     }
   }
-  if (this->canServeInTime(Header, Packet)) {
-    this->take(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
-               Packet.Bytes, Now, Out);
+  const FlowIncarnation Flow = {Packet.View.callerFlow(), Packet.View.Sequence};
+  switch (this->Held.place(Header, Packet.Waited,
+                           this->upstreamLoad(Header.Slots), Now)) {
+  case OpeningQueue::Placement::Take:
+    this->take(Header, Flow, Packet.Bytes, Now, Out);
     return;
-  }
-  if (this->canWait(Header, Packet)) {
+  case OpeningQueue::Placement::Hold:
     this->hold(Header, Packet, Now, Out);
     return;
+  case OpeningQueue::Placement::Refuse:
+    this->refuse(Header, Flow, Duration::zero(), Out);
+    return;
   }
-  this->refuse(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
-               Duration::zero(), Out);
 }
 
 void GateLogic::refuse(const Steer &Header, const FlowIncarnation &Flow,
@@ -171,64 +173,31 @@
       SendSteer{{Header.Balancer, this->Settings.PeerPort}, Refused{Flow}, {}});
 }
 
-bool GateLogic::canServeInTime(const Steer &Header,
-                               const RoutedPacket &Packet) const {
-  if (Header.Goal.count() == 0) {
-    return true;
-  }
-  const Duration Expected = this->Work.expected(this->Load, Header.Slots);
-  return Packet.Waited +
-             std::chrono::duration_cast<Duration>(Expected * GoalReserve) <=
-         Header.Goal;
-}
-
-bool GateLogic::isHeld(const FlowIncarnation &Flow) const {
-  return std::ranges::any_of(this->Held, [&Flow](const HeldOpening &Each) {
-    return Each.Flow == Flow;
-  });
-}
-
-bool GateLogic::canWait(const Steer &Header, const RoutedPacket &Packet) const {
-  if (this->Held.size() >= MaxHeldOpenings) {
-    return false;
-  }
-  const auto Before = static_cast<double>(this->pressure() + 1) / Header.Slots;
-  const Duration Expected = std::chrono::duration_cast<Duration>(
-      this->Work.mean() * Before * HeldSlowdown);
-  return Packet.Waited + Expected + this->Work.mean() + HeldMargin <=
-         Header.Timeout;
-}
-
 void GateLogic::hold(const Steer &Header, const RoutedPacket &Packet,
                      Instant Now, SteerActionList &Out) {
-  HeldOpening &Each = this->Held.emplace_back();
+  HeldOpening Each;
   Each.Flow = {Packet.View.callerFlow(), Packet.View.Sequence};
   Each.Bytes.assign(Packet.Bytes.begin(), Packet.Bytes.end());
   Each.Header = Header;
   Each.Since = Now;
-  Each.Until =
-      Now + Header.Timeout - Packet.Waited - this->Work.mean() - HeldMargin;
+  Each.Begun = Now - Packet.Waited;
+  Each.Until = Each.Begun + holdLimit(Header, this->upstreamLoad(Header.Slots));
   Out.emplace_back(this->record(Decision::OpeningHeld, Each.Flow.Key, Header));
   // The balancer need not ask others meanwhile.
   Out.emplace_back(SendSteer{{Header.Balancer, this->Settings.PeerPort},
                              Taken{Each.Flow, 0, this->Load, false},
                              {}});
+  this->Held.hold(std::move(Each));
 }
 
 void GateLogic::releaseHeld(Instant Now, SteerActionList &Out) {
-  while (!this->Held.empty()) {
-    HeldOpening &Each = this->Held.front();
-    const bool IsLate = Now >= Each.Until;
-    if (!IsLate && this->Load >= Each.Header.Slots) {
-      return;
-    }
-    if (IsLate) {
-      this->refuse(Each.Header, Each.Flow, Now - Each.Since, Out);
-    } else {
-      this->Released.push_back(std::move(Each.Bytes));
-      this->take(Each.Header, Each.Flow, this->Released.back(), Now, Out);
-    }
-    this->Held.pop_front();
+  while (const auto Late = this->Held.takeExpired(Now)) {
+    this->refuse(Late->Header, Late->Flow, Now - Late->Since, Out);
+  }
+  while (auto Next =
+             this->Held.takeNext(this->upstreamLoad(this->Slots), Now)) {
+    this->Released.push_back(std::move(Next->Bytes));
+    this->take(Next->Header, Next->Flow, this->Released.back(), Now, Out);
   }
 }
 
--- /dev/null
+++ b/src/opening-queue.cc
@@ -0,0 +1,109 @@
+#include "mulberryhoist/opening-queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryhoist {
+namespace {
+
+bool isPrompt(const HeldOpening &Each, const UpstreamLoad &Load, Instant Now) {
+  return canReachGoal(Each.Header, Now - Each.Begun, Load);
+}
+
+/// Whether a late opening that waits behind `Held` others is expected to be
+/// answered while its caller waits.
+bool canWait(const Steer &Header, Duration Waited, std::uint32_t Held,
+             const UpstreamLoad &Load) {
+  const auto Before =
+      static_cast<double>(Load.Requests + Held + 1) / Load.Slots;
+  const Duration Expected = std::chrono::duration_cast<Duration>(
+      Load.Work.mean() * Before * HeldSlowdown);
+  return Waited + Expected + Load.Work.mean() + HeldMargin <= Header.Timeout;
+}
+
+} // namespace
+
+bool canReachGoal(const Steer &Header, Duration Waited,
+                  const UpstreamLoad &Load) {
+  if (Header.Goal.count() == 0) {
+    return true;
+  }
+  const Duration Expected = std::chrono::duration_cast<Duration>(
+      Load.Work.expected(Load.Requests, Load.Slots) * GoalReserve);
+  return Waited + ExchangeTime + Expected <= Header.Goal;
+}
+
+Duration holdLimit(const Steer &Header, const UpstreamLoad &Load) {
+  if (Header.Timeout.count() == 0) {
+    return Header.Goal;
+  }
+  return Header.Timeout - Load.Work.mean() - HeldMargin;
+}
+
+std::uint32_t OpeningQueue::countPrompt(const UpstreamLoad &Load,
+                                        Instant Now) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(this->Openings, [&](const HeldOpening &Each) {
+        return isPrompt(Each, Load, Now);
+      }));
+}
+
+OpeningQueue::Placement OpeningQueue::place(const Steer &Header,
+                                            Duration Waited,
+                                            const UpstreamLoad &Load,
+                                            Instant Now) const {
+  const std::uint32_t Prompt = this->countPrompt(Load, Now);
+  UpstreamLoad Ahead = Load;
+  Ahead.Requests += Prompt;
+  const bool IsPrompt = canReachGoal(Header, Waited, Ahead);
+  const bool HasTime = Waited < holdLimit(Header, Load);
+  if (IsPrompt && (!HasTime || (Prompt == 0 && Load.hasRoom()))) {
+    return Placement::Take;
+  }
+  const bool MayHold =
+      HasTime && this->Openings.size() < MaxHeldOpenings &&
+      (IsPrompt || canWait(Header, Waited, this->size(), Load));
+  return MayHold ? Placement::Hold : Placement::Refuse;
+}
+
+std::optional<HeldOpening> OpeningQueue::takeNext(const UpstreamLoad &Load,
+                                                  Instant Now) {
+  if (!Load.hasRoom()) {
+    return std::nullopt;
+  }
+  for (std::size_t I = this->Openings.size(); I > 0; --I) {
+    if (isPrompt(this->Openings[I - 1], Load, Now)) {
+      return this->remove(I - 1);
+    }
+  }
+  if (this->Openings.empty() || !Load.hasFreeSlot()) {
+    return std::nullopt;
+  }
+  const auto Oldest =
+      std::ranges::min_element(this->Openings, {}, &HeldOpening::Begun);
+  return this->remove(
+      static_cast<std::size_t>(Oldest - this->Openings.begin()));
+}
+
+std::optional<HeldOpening> OpeningQueue::takeExpired(Instant Now) {
+  for (std::size_t I = 0; I < this->Openings.size(); ++I) {
+    if (Now >= this->Openings[I].Until) {
+      return this->remove(I);
+    }
+  }
+  return std::nullopt;
+}
+
+bool OpeningQueue::contains(const FlowIncarnation &Flow) const {
+  return std::ranges::find(this->Openings, Flow, &HeldOpening::Flow) !=
+         this->Openings.end();
+}
+
+HeldOpening OpeningQueue::remove(std::size_t Index) {
+  HeldOpening Removed = std::move(this->Openings[Index]);
+  this->Openings.erase(this->Openings.begin() +
+                       static_cast<std::ptrdiff_t>(Index));
+  return Removed;
+}
+
+} // namespace mulberryhoist
