--- a/include/mulberryhoist/decision-log.h
+++ b/include/mulberryhoist/decision-log.h
@@ -15,12 +15,22 @@
 
 namespace mulberryhoist {
 
-/// How many lines about flows a process writes a second; beliefs are always
-/// written, since they change rarely. Thrice the flows of a balancer today.
-inline constexpr std::uint32_t FlowLinesPerSecond = 200;
+/// What a line tells, and so which bound it has.
+enum class LineKind : std::uint8_t {
+  Belief,  ///< Changes what the process believes; rare and always written.
+  Outcome, ///< What became of an opening or a flow.
+  Step,    ///< A hop on the way; many for one flow when upstreams are busy.
+};
+
+/// How many lines about outcomes a process writes a second. Thrice the flows of
+/// a balancer today.
+inline constexpr std::uint32_t OutcomeLinesPerSecond = 200;
+
+/// How many lines about steps a process writes a second; they must not use up
+/// the lines of outcomes.
+inline constexpr std::uint32_t StepLinesPerSecond = 100;
 
-/// True for a decision about one flow, false for one that changes a belief.
-bool concernsFlow(Decision What);
+LineKind lineKind(Decision What);
 
 /// Writes a line and raises a counter for each decision; for one thread.
 class DecisionLog {
@@ -36,13 +46,15 @@
   void observe(Duration Value);
 
 private:
-  /// True if the line may be written; begins a new second if it is due.
-  bool spend(Instant Now);
+  /// True if a line about a flow may be written; begins a new second if it is
+  /// due.
+  bool spend(LineKind Kind, Instant Now);
 
   std::array<prometheus::Counter *, DecisionCount> Counters = {};
   prometheus::Histogram &Latency;
   Instant SecondEnds;
-  std::uint32_t Spent = 0;
+  std::uint32_t SpentOutcomes = 0;
+  std::uint32_t SpentSteps = 0;
   std::uint64_t Suppressed = 0;
 };
 
--- a/include/mulberryhoist/http-client.h
+++ b/include/mulberryhoist/http-client.h
@@ -9,16 +9,11 @@
 #include <string_view>
 #include <vector>
 
+#include "mulberryhoist/http-answer.h"
 #include "mulberryhoist/types.h"
 
 namespace mulberryhoist {
 
-/// An HTTP answer.
-struct HttpAnswer {
-  unsigned Status = 0;
-  std::string Body;
-};
-
 /// Sends `GET Target` to all processes at once and returns their answers in the
 /// order of the addresses; a process that does not answer in time is
 /// `PeerUnreachable`.
--- a/include/mulberryhoist/http-session.h
+++ b/include/mulberryhoist/http-session.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "mulberryhoist/error.h"
+#include "mulberryhoist/http-answer.h"
 #include "mulberryhoist/types.h"
 
 namespace mulberryhoist {
@@ -27,17 +28,10 @@
   /// For the answer; afterwards the connection is replaced.
   std::chrono::milliseconds Timeout{2000};
   std::size_t MaxBodyBytes = 1U << 20U;
-  /// The header whose value the reply carries, if any.
+  /// The header whose value the answer carries, if any.
   std::string_view WantedHeader;
 };
 
-/// The answer to a GET request, whatever its status.
-struct HttpReply {
-  unsigned Status = 0;
-  std::string Body;
-  std::string WantedHeader;
-};
-
 /// What a session has counted.
 struct HttpCounters {
   std::uint64_t Calls = 0;
@@ -59,7 +53,7 @@
   /// not in use. The error is `IncompleteTable` for a body that ends early,
   /// `OversizedMessage` for one that is too large, `MalformedMessage` for an
   /// answer that is not understood, and otherwise `ConfigurationUnavailable`.
-  Result<HttpReply> get(const HttpQuery &Query, const std::stop_token &Stop);
+  Result<HttpAnswer> get(const HttpQuery &Query, const std::stop_token &Stop);
 
   const HttpCounters &counters() const;
 
--- a/include/mulberryhoist/process.h
+++ b/include/mulberryhoist/process.h
@@ -18,6 +18,7 @@
 
 #include "mulberryhoist/admin.h"
 #include "mulberryhoist/documents.h"
+#include "mulberryhoist/http-answer.h"
 #include "mulberryhoist/log.h"
 #include "mulberryhoist/settings.h"
 #include "mulberryhoist/signals.h"
@@ -28,10 +29,6 @@
 /// A JSON value that keeps the order of its keys.
 using Json = nlohmann::ordered_json;
 
-inline constexpr unsigned StatusOk = 200;
-inline constexpr unsigned StatusBadRequest = 400;
-inline constexpr unsigned StatusUnavailable = 503;
-
 inline constexpr SettingSpec ZoneSpec = {.Name = "zone",
                                          .Type = SettingType::Name,
                                          .Help = "Availability zone of this VM",
--- a/include/mulberryhoist/supervisor.h
+++ b/include/mulberryhoist/supervisor.h
@@ -24,6 +24,9 @@
   std::function<Result<void>(std::stop_token)> Run;
 };
 
+/// Waits for this time, or until a stop is requested.
+void sleepUnlessStopped(Duration Time, const std::stop_token &Stop);
+
 /// What the supervisor knows about a duty.
 struct DutyStatus {
   std::string Name;
--- a/include/mulberryhoist/types.h
+++ b/include/mulberryhoist/types.h
@@ -39,6 +39,9 @@
 ///     parseEndpoint("127.0.0.1:8080")->Port == 8080
 Result<Endpoint> parseEndpoint(std::string_view Text);
 
+/// Formats an IPv4 address as `a.b.c.d`.
+std::string formatAddress(std::uint32_t Address);
+
 /// Formats as `a.b.c.d:port`.
 std::string formatEndpoint(Endpoint Value);
 
--- a/src/ctl.cc
+++ b/src/ctl.cc
@@ -114,7 +114,6 @@
 
 tl::expected<Json, Failure> readAnswer(Endpoint Address,
                                        const Result<HttpAnswer> &Answer) {
-  constexpr unsigned StatusOk = 200;
   if (!Answer) {
     return fail(CtlStatus::Unreachable, Answer.error().Detail);
   }
--- a/src/decision-log.cc
+++ b/src/decision-log.cc
@@ -19,11 +19,6 @@
                      formatEndpoint(Flow.Service));
 }
 
-std::string addressText(std::uint32_t Address) {
-  return fmt::format("{}.{}.{}.{}", Address >> 24U, (Address >> 16U) & 0xFFU,
-                     (Address >> 8U) & 0xFFU, Address & 0xFFU);
-}
-
 prometheus::Histogram &makeHistogram(prometheus::Registry &Metrics,
                                      const std::string &Name,
                                      const std::string &Help) {
@@ -36,7 +31,7 @@
 
 } // namespace
 
-bool concernsFlow(Decision What) {
+LineKind lineKind(Decision What) {
   switch (What) {
   case Decision::AgentSuspected:
   case Decision::AgentLeaving:
@@ -44,9 +39,15 @@
   case Decision::UpstreamSilent:
   case Decision::UpstreamAnswers:
   case Decision::PauseNoticed:
-    return false;
+    return LineKind::Belief;
+  case Decision::OpeningResent:
+  case Decision::OpeningPassedOn:
+  case Decision::OpeningReturned:
+  case Decision::PacketReturned:
+  case Decision::OwnerSought:
+    return LineKind::Step;
   default:
-    return true;
+    return LineKind::Outcome;
   }
 }
 
@@ -69,20 +70,23 @@
   this->Latency.Observe(std::chrono::duration<double>(Value).count());
 }
 
-bool DecisionLog::spend(Instant Now) {
+bool DecisionLog::spend(LineKind Kind, Instant Now) {
   if (Now >= this->SecondEnds) {
     this->SecondEnds = Now + std::chrono::seconds(1);
-    this->Spent = 0;
+    this->SpentOutcomes = 0;
+    this->SpentSteps = 0;
     if (const auto Omitted = std::exchange(this->Suppressed, 0)) {
       log(LogLevel::Warning, "flow decisions not logged",
           {{"count", static_cast<std::int64_t>(Omitted)}});
     }
   }
-  if (this->Spent == FlowLinesPerSecond) {
+  const bool IsStep = Kind == LineKind::Step;
+  std::uint32_t &Spent = IsStep ? this->SpentSteps : this->SpentOutcomes;
+  if (Spent == (IsStep ? StepLinesPerSecond : OutcomeLinesPerSecond)) {
     ++this->Suppressed;
     return false;
   }
-  ++this->Spent;
+  ++Spent;
   return true;
 }
 
@@ -91,19 +95,20 @@
   this->Counters[static_cast<std::size_t>(Each.What)]->Increment();
   const auto AgeMs =
       std::chrono::duration<double, std::milli>(Each.Age).count();
-  if (!concernsFlow(Each.What)) {
+  const LineKind Kind = lineKind(Each.What);
+  if (Kind == LineKind::Belief) {
     log(LogLevel::Info, decisionName(Each.What),
-        {{"agent", addressText(Each.Agent)},
+        {{"agent", formatAddress(Each.Agent)},
          {"load", std::int64_t{Each.Load}},
          {"age_ms", AgeMs}});
     return;
   }
-  if (!this->spend(Now)) {
+  if (!this->spend(Kind, Now)) {
     return;
   }
   log(LogLevel::Info, decisionName(Each.What),
       {{"flow", flowText(Each.Flow)},
-       {"agent", addressText(Each.Agent)},
+       {"agent", formatAddress(Each.Agent)},
        {"load", std::int64_t{Each.Load}},
        {"slots", std::int64_t{Each.Slots}},
        {"hops", std::int64_t{Each.Hops}},
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -12,7 +12,7 @@
 void logUpstream(std::string_view Text, const ListedUpstream &Each) {
   log(LogLevel::Info, Text,
       {{"upstream", Each.Name},
-       {"agent", formatEndpoint({Each.Address, 0})},
+       {"agent", formatAddress(Each.Address)},
        {"state", upstreamStateName(Each.State)},
        {"slots", std::int64_t{Each.Slots}}});
 }
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -72,7 +72,8 @@
       return;
     }
     auto Message = this->Parser.release();
-    this->Outcome = HttpAnswer{Message.result_int(), std::move(Message.body())};
+    this->Outcome =
+        HttpAnswer{Message.result_int(), std::move(Message.body()), {}};
   }
 
   bool failed(const error_code &Code) {
--- a/src/http-session.cc
+++ b/src/http-session.cc
@@ -148,8 +148,8 @@
 HttpSession &HttpSession::operator=(HttpSession &&) noexcept = default;
 HttpSession::~HttpSession() = default;
 
-Result<HttpReply> HttpSession::get(const HttpQuery &Query,
-                                   const std::stop_token &Stop) {
+Result<HttpAnswer> HttpSession::get(const HttpQuery &Query,
+                                    const std::stop_token &Stop) {
   State &Own = *this->Impl;
   const bool Reused = Own.Stream.has_value();
   if (!Reused) {
@@ -173,7 +173,7 @@
   if (Code) {
     return transportError(Own.Name, Code);
   }
-  HttpReply Reply;
+  HttpAnswer Reply;
   Reply.Status = Answer.get().result_int();
   if (!Query.WantedHeader.empty()) {
     const auto Value = Answer.get()[beast::string_view(
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -10,10 +10,6 @@
 
 constexpr std::string_view ServiceName = "configuration service";
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotModified = 304;
-constexpr unsigned StatusTooManyRequests = 429;
-
 std::optional<std::uint64_t> parseRevision(std::string_view Text) {
   std::uint64_t Value = 0;
   const auto [Stop, Code] =
@@ -25,7 +21,7 @@
   return Value;
 }
 
-Result<PlatformAnswer> interpret(HttpReply Answer) {
+Result<PlatformAnswer> interpret(HttpAnswer Answer) {
   const auto Revision = parseRevision(Answer.WantedHeader);
   switch (Answer.Status) {
   case StatusOk:
--- a/src/supervisor.cc
+++ b/src/supervisor.cc
@@ -55,7 +55,7 @@
         BackOff = FirstBackOff;
       }
       this->recordFailure(Problem, BackOff);
-      this->sleep(BackOff, Stop);
+      sleepUnlessStopped(BackOff, Stop);
       BackOff = std::min(BackOff * 2, LongestBackOff);
     }
     const std::scoped_lock Guard(this->Lock);
@@ -92,19 +92,20 @@
               std::chrono::duration_cast<milliseconds>(BackOff).count()}}});
   }
 
-  void sleep(Duration Time, const std::stop_token &Stop) {
-    std::unique_lock Guard(this->Lock);
-    this->Stopped.wait_for(Guard, Stop, Time, [] { return false; });
-  }
-
   Duty Task;
   mutable std::mutex Lock;
-  std::condition_variable_any Stopped;
   DutyStatus Known;
 };
 
 } // namespace
 
+void sleepUnlessStopped(Duration Time, const std::stop_token &Stop) {
+  std::mutex Lock;
+  std::condition_variable_any Stopped;
+  std::unique_lock Guard(Lock);
+  Stopped.wait_for(Guard, Stop, Time, [] { return false; });
+}
+
 struct Supervisor::State {
   /// Threads refer to their worker, so workers outlive the threads.
   std::vector<std::unique_ptr<Worker>> Workers;
--- a/src/types.cc
+++ b/src/types.cc
@@ -64,10 +64,13 @@
   return Value;
 }
 
+std::string formatAddress(std::uint32_t Address) {
+  return fmt::format("{}.{}.{}.{}", Address >> 24U, (Address >> 16U) & 0xFFU,
+                     (Address >> 8U) & 0xFFU, Address & 0xFFU);
+}
+
 std::string formatEndpoint(Endpoint Value) {
-  return fmt::format(
-      "{}.{}.{}.{}:{}", Value.Address >> 24U, (Value.Address >> 16U) & 0xFFU,
-      (Value.Address >> 8U) & 0xFFU, Value.Address & 0xFFU, Value.Port);
+  return fmt::format("{}:{}", formatAddress(Value.Address), Value.Port);
 }
 
 bool isName(std::string_view Text) {
--- /dev/null
+++ b/test/decision-log-test.cc
@@ -0,0 +1,79 @@
+#include "mulberryhoist/decision-log.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "steer-samples.h"
+
+namespace mulberryhoist {
+namespace {
+
+using namespace samples;
+
+class DecisionLogTest : public testing::Test {
+protected:
+  void record(Decision What, int Count) {
+    RecordDecision Each;
+    Each.What = What;
+    Each.Flow = flowOf(9);
+    for (int I = 0; I < Count; ++I) {
+      this->Log.record(Each, 1, this->Now);
+    }
+  }
+
+  /// How many lines with this text `Write` causes.
+  template <typename Call>
+  static int countLines(std::string_view Text, Call Write) {
+    testing::internal::CaptureStdout();
+    Write();
+    std::istringstream Lines(testing::internal::GetCapturedStdout());
+    int Count = 0;
+    for (std::string Line; std::getline(Lines, Line);) {
+      Count += nlohmann::json::parse(Line)["text"] == Text ? 1 : 0;
+    }
+    return Count;
+  }
+
+  Instant Now = Instant(std::chrono::hours(1));
+  prometheus::Registry Metrics;
+  DecisionLog Log{Metrics, "test_seconds", "Time in a test"};
+};
+
+// Guards against a log that is flooded, and against hops between busy agents
+// that leave no line for the refusal which an operator looks for.
+TEST_F(DecisionLogTest, HopsDoNotUseUpTheLinesOfOutcomes) {
+  EXPECT_EQ(countLines("opening_refused",
+                       [this] {
+                         this->record(Decision::OpeningPassedOn, 1000);
+                         this->record(Decision::OpeningRefused, 20);
+                       }),
+            20);
+  EXPECT_EQ(countLines("opening_taken",
+                       [this] { this->record(Decision::OpeningTaken, 1000); }),
+            static_cast<int>(OutcomeLinesPerSecond) - 20);
+}
+
+// Guards against lines that are missing without a trace.
+TEST_F(DecisionLogTest, NextSecondTellsWhatWasOmitted) {
+  const int Most = static_cast<int>(StepLinesPerSecond);
+  EXPECT_EQ(
+      countLines("packet_returned",
+                 [&] { this->record(Decision::PacketReturned, Most + 7); }),
+      Most);
+  this->Now += std::chrono::seconds(1);
+  EXPECT_EQ(countLines("flow decisions not logged",
+                       [this] { this->record(Decision::OpeningTaken, 1); }),
+            1);
+}
+
+TEST_F(DecisionLogTest, BeliefsAreAlwaysWritten) {
+  const int Many = 2 * static_cast<int>(OutcomeLinesPerSecond);
+  EXPECT_EQ(countLines("agent_suspected",
+                       [&] { this->record(Decision::AgentSuspected, Many); }),
+            Many);
+}
+
+} // namespace
+} // namespace mulberryhoist
--- a/test/log-test.cc
+++ b/test/log-test.cc
@@ -2,9 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <chrono>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace mulberryhoist {
@@ -79,5 +83,39 @@
   EXPECT_EQ(Count, Threads * Lines);
 }
 
+// Guards against a reader of the log that holds up the threads which write it:
+// nobody reads the pipe, and its buffer is smaller than the lines.
+TEST(LogTest, BlockedReaderHoldsUpNoWriter) {
+  setUpLog("test", LogLevel::Info);
+  std::fflush(stdout);
+  const int Saved = ::dup(STDOUT_FILENO);
+  std::array<int, 2> Pipe{};
+  ASSERT_EQ(::pipe(Pipe.data()), 0);
+  ::dup2(Pipe[1], STDOUT_FILENO);
+  ::close(Pipe[1]);
+  const std::string Filler(1000, 'x');
+  const auto Begin = std::chrono::steady_clock::now();
+  constexpr int Lines = 1000;
+  {
+    const LogWriter Writer;
+    for (int I = 0; I < Lines; ++I) {
+      log(LogLevel::Info, Filler);
+    }
+  }
+  const auto Spent = std::chrono::steady_clock::now() - Begin;
+  // The writer is stuck in a full pipe; reading it to its end frees it.
+  std::string Read;
+  std::array<char, 65536> Buffer{};
+  while (Read.find("log lines dropped") == std::string::npos) {
+    const ssize_t Size = ::read(Pipe[0], Buffer.data(), Buffer.size());
+    ASSERT_GT(Size, 0);
+    Read.append(Buffer.data(), static_cast<std::size_t>(Size));
+  }
+  ::dup2(Saved, STDOUT_FILENO);
+  ::close(Saved);
+  ::close(Pipe[0]);
+  EXPECT_LT(Spent, std::chrono::seconds(2));
+}
+
 } // namespace
 } // namespace mulberryhoist
--- a/test/soak/store.cc
+++ b/test/soak/store.cc
@@ -142,17 +142,22 @@
     Query[std::string(Each.key)] = std::string(Each.value);
   }
   if (Parsed->path() == "/kv-range") {
-    return this->list(Query["prefix"]);
+    return this->list(Query["prefix"], Query["after"]);
   }
   return this->watch(Query["prefix"], std::stoull(Query["after"]),
                      std::chrono::milliseconds(std::stoll(Query["wait_ms"])));
 }
 
-Store::Answer Store::list(const std::string &Prefix) {
+Store::Answer Store::list(const std::string &Prefix, const std::string &After) {
   const std::scoped_lock Guard(this->Lock);
   Json List = Json::array();
+  bool Truncated = false;
   for (const auto &[Key, Each] : this->Items) {
-    if (Key.starts_with(Prefix)) {
+    if (Key.starts_with(Prefix) && Key > After) {
+      Truncated = List.size() == this->PageSize;
+      if (Truncated) {
+        break;
+      }
       List.push_back({{"key", Key},
                       {"value", encodeBase64(Each.Value)},
                       {"revision", Each.Revision},
@@ -161,7 +166,7 @@
     }
   }
   return {200, Json{{"items", std::move(List)},
-                    {"truncated", false},
+                    {"truncated", Truncated},
                     {"as_of", this->Revision}}
                    .dump()};
 }
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -39,6 +39,8 @@
   void put(const std::string &Key, std::string Value);
   void remove(const std::string &Key);
   void setMode(StoreMode Next);
+  /// The most items of one page of a list.
+  void setPageSize(std::size_t Next) { this->PageSize = Next; }
   /// Forgets the changes so far, so that older watches get status 410.
   void dropHistory();
 
@@ -59,7 +61,7 @@
   void accept();
   void serve(boost::asio::ip::tcp::socket &Socket);
   Answer answer(const std::string &Target);
-  Answer list(const std::string &Prefix);
+  Answer list(const std::string &Prefix, const std::string &After);
   Answer watch(const std::string &Prefix, std::uint64_t After,
                std::chrono::milliseconds Wait);
 
@@ -72,6 +74,7 @@
   std::uint64_t Revision = 1;
   std::uint64_t Forgotten = 0;
   std::atomic<StoreMode> Mode{StoreMode::Up};
+  std::atomic<std::size_t> PageSize{500};
   std::atomic<bool> Stopping{false};
   std::list<boost::asio::ip::tcp::socket> Sockets;
   std::vector<std::jthread> Connections;
