Serve the more urgent class of the waiting openings first

Cause: the class of a route was read and not used, so that an order waited behind the less urgent work that came after it.

Change: the class travels with an opening. Among the openings that wait and can reach their goal the more urgent class goes first; after four in a row one of another class is served, so that an urgent flood leaves a fifth of the slots to the rest.

--- a/include/mulberryhoist/opening-queue.h
+++ b/include/mulberryhoist/opening-queue.h
@@ -3,8 +3,9 @@
 /// in which they are served.
 ///
 /// Openings whose requests can still reach their latency objective are prompt
-/// and go first, the newest before the older ones: under overload that serves
-/// the most callers in time. Late ones get the slots that are left.
+/// and go first: the more urgent class before the others, within it the newest,
+/// since under overload that serves the most callers in time. Late ones get the
+/// slots that are left.
 
 #ifndef MULBERRYHOIST_OPENING_QUEUE_H
 #define MULBERRYHOIST_OPENING_QUEUE_H
@@ -33,6 +34,11 @@
 /// The most openings that wait for a slot at one agent.
 inline constexpr std::size_t MaxHeldOpenings = 256;
 
+/// How many prompt openings of the most urgent class go before one of another
+/// class that waits too, so that a flood of urgent work leaves a fifth of the
+/// slots to the rest.
+inline constexpr std::uint32_t MaxUrgentInRow = 4;
+
 /// How many times longer a late opening waits than the requests before it take,
 /// since prompt ones go first.
 inline constexpr int HeldSlowdown = 2;
@@ -102,11 +108,17 @@
   void clear() { this->Openings.clear(); }
 
 private:
-  std::uint32_t countPrompt(const UpstreamLoad &Load, Instant Now) const;
+  /// The prompt openings that go before one of this class.
+  std::uint32_t countPrompt(std::uint32_t Class, const UpstreamLoad &Load,
+                            Instant Now) const;
+  std::optional<std::size_t> choosePrompt(const UpstreamLoad &Load,
+                                          Instant Now);
   HeldOpening remove(std::size_t Index);
 
   /// In the order of arrival.
   std::vector<HeldOpening> Openings;
+  /// Urgent openings served in a row while others waited.
+  std::uint32_t UrgentInRow = 0;
 };
 
 } // namespace mulberryhoist
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -85,6 +85,8 @@
   std::chrono::milliseconds Goal{0};
   /// How long callers wait for an answer; 0 if it is not known.
   std::chrono::milliseconds Timeout{0};
+  /// The class of the route; 0 is the most urgent.
+  std::uint32_t Class = 0;
   /// The least loaded agent that passed the opening on, if any did.
   Candidate LeastLoaded{0, 0};
   std::uint32_t LeastLoad = 0;
--- a/src/opening-queue.cc
+++ b/src/opening-queue.cc
@@ -40,11 +40,12 @@
   return Header.Timeout - Load.Work.mean() - HeldMargin;
 }
 
-std::uint32_t OpeningQueue::countPrompt(const UpstreamLoad &Load,
+std::uint32_t OpeningQueue::countPrompt(std::uint32_t Class,
+                                        const UpstreamLoad &Load,
                                         Instant Now) const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(this->Openings, [&](const HeldOpening &Each) {
-        return isPrompt(Each, Load, Now);
+        return Each.Header.Class <= Class && isPrompt(Each, Load, Now);
       }));
 }
 
@@ -52,7 +53,7 @@
                                             Duration Waited,
                                             const UpstreamLoad &Load,
                                             Instant Now) const {
-  const std::uint32_t Prompt = this->countPrompt(Load, Now);
+  const std::uint32_t Prompt = this->countPrompt(Header.Class, Load, Now);
   UpstreamLoad Ahead = Load;
   Ahead.Requests += Prompt;
   const bool IsPrompt = canReachGoal(Header, Waited, Ahead);
@@ -66,23 +67,52 @@
   return MayHold ? Placement::Hold : Placement::Refuse;
 }
 
+std::optional<std::size_t> OpeningQueue::choosePrompt(const UpstreamLoad &Load,
+                                                      Instant Now) {
+  // The newest of the most urgent class, and the newest of the others.
+  std::optional<std::size_t> Urgent;
+  std::optional<std::size_t> Other;
+  for (std::size_t I = this->Openings.size(); I > 0; --I) {
+    const HeldOpening &Each = this->Openings[I - 1];
+    if (!isPrompt(Each, Load, Now)) {
+      continue;
+    }
+    if (!Urgent || Each.Header.Class < this->Openings[*Urgent].Header.Class) {
+      Other = Urgent;
+      Urgent = I - 1;
+    } else if (!Other &&
+               Each.Header.Class > this->Openings[*Urgent].Header.Class) {
+      Other = I - 1;
+    }
+  }
+  if (!Other) {
+    this->UrgentInRow = 0;
+    return Urgent;
+  }
+  if (this->UrgentInRow == MaxUrgentInRow) {
+    this->UrgentInRow = 0;
+    return Other;
+  }
+  ++this->UrgentInRow;
+  return Urgent;
+}
+
 std::optional<HeldOpening> OpeningQueue::takeNext(const UpstreamLoad &Load,
                                                   Instant Now) {
   if (!Load.hasRoom()) {
     return std::nullopt;
   }
-  for (std::size_t I = this->Openings.size(); I > 0; --I) {
-    if (isPrompt(this->Openings[I - 1], Load, Now)) {
-      return this->remove(I - 1);
-    }
+  if (const auto Prompt = this->choosePrompt(Load, Now)) {
+    return this->remove(*Prompt);
   }
   if (this->Openings.empty() || !Load.hasFreeSlot()) {
     return std::nullopt;
   }
-  const auto Oldest =
-      std::ranges::min_element(this->Openings, {}, &HeldOpening::Begun);
-  return this->remove(
-      static_cast<std::size_t>(Oldest - this->Openings.begin()));
+  const auto Best =
+      std::ranges::min_element(this->Openings, {}, [](const HeldOpening &Each) {
+        return std::pair(Each.Header.Class, Each.Begun);
+      });
+  return this->remove(static_cast<std::size_t>(Best - this->Openings.begin()));
 }
 
 std::optional<HeldOpening> OpeningQueue::takeExpired(Instant Now) {
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -25,6 +25,7 @@
   To.set_own_slots(From.Slots);
   To.set_goal_ms(static_cast<std::uint32_t>(From.Goal.count()));
   To.set_timeout_ms(static_cast<std::uint32_t>(From.Timeout.count()));
+  To.set_urgency(From.Class);
   To.set_least_loaded(From.LeastLoaded.Agent);
   To.set_least_slots(From.LeastLoaded.Slots);
   To.set_least_load(From.LeastLoad);
@@ -79,6 +80,7 @@
   To.Slots = From.own_slots();
   To.Goal = std::chrono::milliseconds(From.goal_ms());
   To.Timeout = std::chrono::milliseconds(From.timeout_ms());
+  To.Class = From.urgency();
   To.LeastLoaded = {From.least_loaded(), From.least_slots()};
   To.LeastLoad = From.least_load();
   To.Hops = From.hops();
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -127,6 +127,7 @@
   Header.Notify = true;
   Header.Goal = Where->Goal;
   Header.Timeout = Where->Timeout;
+  Header.Class = Where->Class;
   if (const Holders *Known = this->findHolders(Key);
       Known != nullptr && Known->Initial == Packet.View.Sequence) {
     Header.Final = true;
--- a/test/opening-queue-test.cc
+++ b/test/opening-queue-test.cc
@@ -27,10 +27,11 @@
 class OpeningQueueTest : public testing::Test {
 protected:
   /// Holds an opening whose caller has waited for this long.
-  void hold(std::uint16_t Port, Duration Waited = {}) {
+  void hold(std::uint16_t Port, Duration Waited = {}, std::uint32_t Class = 0) {
     HeldOpening Each;
     Each.Flow = {flowOf(Port), Port};
     Each.Header = header();
+    Each.Header.Class = Class;
     Each.Since = this->Now;
     Each.Begun = this->Now - Waited;
     Each.Until = Each.Begun + holdLimit(Each.Header, load(Slots));
@@ -117,6 +118,39 @@
   EXPECT_TRUE(this->Queue.empty());
 }
 
+// Guards against orders that wait behind a flood of less urgent work.
+TEST_F(OpeningQueueTest, UrgentOpeningsGoFirst) {
+  this->hold(1, {}, 1);
+  this->hold(2, {}, 2);
+  this->hold(3, {}, 1);
+  this->hold(4, {}, 2);
+  for (const std::uint16_t Expected : {3, 1, 4, 2}) {
+    EXPECT_EQ(this->next(Slots), Expected);
+  }
+  // Less urgent openings that wait do not make a new one wait.
+  this->hold(5, {}, 2);
+  Steer Urgent = header();
+  Urgent.Class = 1;
+  EXPECT_EQ(this->Queue.place(Urgent, {}, load(Slots), this->Now),
+            Placement::Take);
+  Urgent.Class = 2;
+  EXPECT_EQ(this->Queue.place(Urgent, {}, load(Slots), this->Now),
+            Placement::Hold);
+}
+
+// Guards against a flood of urgent work that takes all slots from the rest.
+TEST_F(OpeningQueueTest, UrgentFloodLeavesSlotsToTheRest) {
+  for (std::uint16_t Port = 1; Port <= 10; ++Port) {
+    this->hold(Port, {}, 1);
+    this->hold(static_cast<std::uint16_t>(Port + 100), {}, 2);
+  }
+  int Others = 0;
+  for (int I = 0; I < 10; ++I) {
+    Others += this->next(Slots) > 100 ? 1 : 0;
+  }
+  EXPECT_EQ(Others, 2);
+}
+
 TEST_F(OpeningQueueTest, OldestLateOpeningGoesFirst) {
   this->hold(1, milliseconds(200));
   this->hold(2, milliseconds(600));
--- a/test/steer-wire-test.cc
+++ b/test/steer-wire-test.cc
@@ -22,6 +22,7 @@
   Header.Slots = 4;
   Header.Goal = milliseconds(150);
   Header.Timeout = milliseconds(1000);
+  Header.Class = 2;
   Header.LeastLoaded = {agentAddress(3), 2};
   Header.LeastLoad = 9;
   Header.Hops = 5;
@@ -46,6 +47,7 @@
   EXPECT_EQ(To.Slots, From.Slots);
   EXPECT_EQ(To.Goal, From.Goal);
   EXPECT_EQ(To.Timeout, From.Timeout);
+  EXPECT_EQ(To.Class, From.Class);
   EXPECT_EQ(To.LeastLoaded, From.LeastLoaded);
   EXPECT_EQ(To.LeastLoad, From.LeastLoad);
   EXPECT_EQ(To.Hops, From.Hops);
