Use the text of an address from the library in the soak

The soak cut the port off the text of an endpoint; formatAddress does that without. A comment of the opening queue said more than the code does.

--- a/src/opening-queue.cc
+++ b/src/opening-queue.cc
@@ -69,7 +69,7 @@
 
 std::optional<std::size_t> OpeningQueue::choosePrompt(const UpstreamLoad &Load,
                                                       Instant Now) {
-  // The newest of the most urgent class, and the newest of the others.
+  // The newest of the most urgent class, and one of another class.
   std::optional<std::size_t> Urgent;
   std::optional<std::size_t> Other;
   for (std::size_t I = this->Openings.size(); I > 0; --I) {
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -117,11 +117,6 @@
     return Report;
   }
 
-  static std::string hostText(std::uint32_t Address) {
-    const std::string Text = formatEndpoint({Address, 0});
-    return Text.substr(0, Text.find(':'));
-  }
-
   void addVm(std::uint32_t Number, bool IsBalancer) {
     Vm &Each = this->Vms.emplace_back();
     Each.Address = this->Network + Number;
@@ -131,13 +126,13 @@
   }
 
   void writeSettings(const Vm &Each, std::string_view Service) {
-    const std::string Host = hostText(Each.Address);
+    const std::string Host = formatAddress(Each.Address);
     std::string Text =
         fmt::format("node = \"vm-{}\"\nip = \"{}\"\nzone = \"z\"\n"
                     "port_range = [{}, {}]\nseeds = [\"{}:{}\", \"{}:{}\"]\n",
                     Each.Address & 0xFFU, Host, PeerPort, PeerPort + 15,
-                    hostText(this->Network + 1), ControlPort,
-                    hostText(this->Network + 2), ControlPort);
+                    formatAddress(this->Network + 1), ControlPort,
+                    formatAddress(this->Network + 2), ControlPort);
     if (!Each.IsBalancer) {
       Text += fmt::format("app = \"{}:{}\"\nbackend = \"{}\"\n", Host,
                           UpstreamPort, Service);
@@ -150,7 +145,7 @@
                 : fmt::format("outbound = \"{}:{}\"\n", Host, OutboundPort);
     Text += fmt::format("[bounds]\nstable_ms = 4000\n[platform]\n"
                         "addr = \"{}:{}\"\n",
-                        hostText(this->Network + 250), StorePort);
+                        formatAddress(this->Network + 250), StorePort);
     std::ofstream(Each.SettingsFile) << Text;
   }
 
