Count requests by sequence numbers instead of packets

Cause: each packet with data after a response counted as a request.

Change: RequestTracker follows the sequence numbers of a flow. New data opens a request, the response that acknowledges it closes it, and nothing counts after FIN or a reset. The time in the slot begins with the last data. Load that no response ends expires after the route's timeout, or after 2 s if the caller stopped in the middle of its data, and is reported (request_overdue, load_expired, mulberry_overdue_requests).

--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -39,13 +39,15 @@
   AgentSuspected,     ///< An agent does not answer.
   AgentLeaving,       ///< An agent accepts no new flows.
   AgentRegained,      ///< An agent answers again.
+  RequestOverdue,     ///< No response yet; the estimate does not explain it.
+  LoadExpired,        ///< A request without response stopped counting as load.
   UpstreamSilent,     ///< The upstream does not answer openings.
   UpstreamAnswers,    ///< The upstream answers again.
   PauseNoticed,       ///< The process was paused.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 24;
+inline constexpr std::size_t DecisionCount = 26;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/include/mulberryhoist/steering-agent-data.h
+++ b/include/mulberryhoist/steering-agent-data.h
@@ -61,6 +61,7 @@
       Logic.onTick(Now, Out);
       this->Output.perform(Out, Now);
       this->LoadGauge.Set(Logic.load());
+      this->OverdueGauge.Set(Logic.overdueCount());
       this->FlowGauge.Set(static_cast<double>(Logic.flowCount()));
       this->ServiceTimeGauge.Set(toSeconds(Logic.serviceTime()));
       if (Logic.isDrained(Now)) {
@@ -89,6 +90,7 @@
     return jsonText({{"upstream", formatEndpoint(this->Upstream)},
                      {"service", this->Service.load().Value},
                      {"load", this->LoadGauge.Value()},
+                     {"overdue", this->OverdueGauge.Value()},
                      {"flows", this->FlowGauge.Value()},
                      {"service_time_s", this->ServiceTimeGauge.Value()},
                      {"stopping", this->Terminating.load()}});
@@ -106,6 +108,9 @@
                   "Time from a request to the upstream's first response"),
         LoadGauge(makeGauge(Metrics, "upstream_load",
                             "Requests that the upstream processes or queues")),
+        OverdueGauge(makeGauge(
+            Metrics, "overdue_requests",
+            "Requests in the load for longer than the estimate explains")),
         FlowGauge(makeGauge(Metrics, "remembered_flows",
                             "Flows in the agent's flow table")),
         ServiceTimeGauge(
@@ -179,6 +184,7 @@
   ErrorCounters Errors;
   DecisionLog Decisions;
   prometheus::Gauge &LoadGauge;
+  prometheus::Gauge &OverdueGauge;
   prometheus::Gauge &FlowGauge;
   prometheus::Gauge &ServiceTimeGauge;
   DatagramSocket Peers;
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -19,6 +19,7 @@
 
 #include "mulberryhoist/opening-queue.h"
 #include "mulberryhoist/packet-format.h"
+#include "mulberryhoist/request-tracker.h"
 #include "mulberryhoist/steer-actions.h"
 
 namespace mulberryhoist {
@@ -29,10 +30,19 @@
 /// uses only one of them.
 inline constexpr Duration OpeningLoadTimeout = std::chrono::milliseconds(30);
 
-/// How long a request counts as load without a response of the upstream; longer
-/// than the longest request that callers wait for.
+/// How long a request counts as load without a response of the upstream, unless
+/// the route's timeout is shorter; longer than the longest request that callers
+/// wait for.
 inline constexpr Duration RequestLoadTimeout = std::chrono::seconds(10);
 
+/// How long a request that its caller has not finished sending counts as load;
+/// longer than the longest retransmission interval of callers (1.6 s).
+inline constexpr Duration TransferLoadTimeout = std::chrono::seconds(2);
+
+/// Multiple of the expected response time after which a request that counts as
+/// load is reported as overdue.
+inline constexpr int OverdueFactor = 8;
+
 /// How long a flow without packets stays in the flow table: the longest life of
 /// a flow on the platform.
 inline constexpr Duration SteeringAgentFlowTimeout = std::chrono::seconds(60);
@@ -114,6 +124,10 @@
 
   std::size_t flowCount() const { return this->Flows.size(); }
 
+  /// Returns the number of requests that count as load for longer than the
+  /// estimated service time explains.
+  std::uint32_t overdueCount() const { return this->Overdue; }
+
 private:
   struct SteeringAgentFlow {
     Incarnation Initial = 0;
@@ -125,8 +139,12 @@
     /// Set if a slot was free when the request arrived; its response time then
     /// is its service time.
     bool FoundFreeSlot = false;
-    bool HasRequest = false;
+    bool ReportedOverdue = false;
+    RequestTracker Request;
+    /// When the opening or the last new data of the request arrived.
     Instant LoadSince;
+    /// How long the open request counts as load without a response.
+    Duration LoadTimeout = RequestLoadTimeout;
     Instant LastSeen;
   };
 
@@ -173,6 +191,10 @@
                      SteerActionList &Out);
   void onFlowPacket(const Steer &Header, const RoutedPacket &Packet,
                     Instant Now, SteerActionList &Out);
+  void trackRequest(SteeringAgentFlow &Flow, const Steer &Header,
+                    const PacketView &Packet, Instant Now);
+  void trackResponse(SteeringAgentFlow &Flow, const PacketView &Packet,
+                     Instant Now, SteerActionList &Out);
   void onReturned(const RoutedPacket &Packet, SteerActionList &Out);
   void notifyBalancer(const FlowKey &Key, SteeringAgentFlow &Flow,
                       SteerActionList &Out);
@@ -181,6 +203,10 @@
   void addToLoad(SteeringAgentFlow &Flow, std::uint32_t Slots, Instant Now);
   void removeFromLoad(SteeringAgentFlow &Flow);
   void expireOpenings(Instant Now);
+  /// Ends the load of requests without a response, and reports those that are
+  /// overdue.
+  void checkLoad(const FlowKey &Key, SteeringAgentFlow &Flow, Instant Now,
+                 SteerActionList &Out);
   void erase(FlowMap::iterator Found);
   void addBalancer(std::uint32_t Balancer);
   RecordDecision record(Decision Kind, const FlowKey &Flow,
@@ -195,6 +221,7 @@
   /// that event refer to them.
   std::vector<std::vector<std::uint8_t>> ReleasedBytes;
   std::uint32_t Load = 0;
+  std::uint32_t Overdue = 0;
   ServiceTimeEstimate ServiceTime;
   /// Slots of the upstream according to the last received message.
   std::uint32_t Slots = 1;
--- a/src/steer-actions.cc
+++ b/src/steer-actions.cc
@@ -13,7 +13,8 @@
     "opening_held",     "opening_refused",     "opening_dropped",
     "packet_returned",  "owner_not_found",     "wrong_service",
     "agent_suspected",  "agent_leaving",       "agent_regained",
-    "upstream_silent",  "upstream_answers",    "pause_noticed"};
+    "request_overdue",  "load_expired",        "upstream_silent",
+    "upstream_answers", "pause_noticed"};
 
 } // namespace
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -31,7 +31,7 @@
     const AwaitedRequest Next = this->Awaited.front();
     this->Awaited.pop_front();
     const auto Found = this->Flows.find(Next.Key);
-    if (Found != this->Flows.end() && !Found->second.HasRequest &&
+    if (Found != this->Flows.end() && !Found->second.Request.isOpen() &&
         Found->second.LoadSince == Next.Since) {
       this->removeFromLoad(Found->second);
     }
@@ -223,6 +223,11 @@
     this->removeFromLoad(Entry);
     Entry = SteeringAgentFlow();
     Entry.Initial = Flow.Initial;
+    Entry.Request = RequestTracker(Flow.Initial + 1);
+    if (Header.Timeout.count() != 0) {
+      Entry.LoadTimeout =
+          std::min<Duration>(Header.Timeout, RequestLoadTimeout);
+    }
     Entry.Balancer = Header.Balancer;
     Entry.Notify = true;
     Entry.LastSeen = Now;
@@ -269,14 +274,7 @@
     Flow.LastSeen = Now;
     Flow.Balancer = Header.Balancer;
     Flow.Notify = Flow.Notify || Header.Notify;
-    if (!Packet.View.Payload.empty() && !Flow.HasRequest) {
-      Flow.HasRequest = true;
-      if (Flow.CountedInLoad) {
-        Flow.LoadSince = Now;
-      } else {
-        this->addToLoad(Flow, Header.Slots, Now);
-      }
-    }
+    this->trackRequest(Flow, Header, Packet.View, Now);
   }
   // The upstream can return packets even of a flow in the flow table: it has
   // restarted, or the caller used the faster response of another upstream.
@@ -284,6 +282,43 @@
       ForwardToUpstream{Packet.Bytes, this->recordForwarded(Header)});
 }
 
+void SteeringAgentLogic::trackRequest(SteeringAgentFlow &Flow,
+                                      const Steer &Header,
+                                      const PacketView &Packet, Instant Now) {
+  switch (Flow.Request.onCallerPacket(Packet)) {
+  case RequestTracker::CallerEvent::None:
+    return;
+  case RequestTracker::CallerEvent::Aborts:
+    this->removeFromLoad(Flow);
+    return;
+  case RequestTracker::CallerEvent::Begins:
+  case RequestTracker::CallerEvent::Continues:
+    // The request occupies a slot from its last data on, so that the estimate
+    // of the service time does not depend on the caller's link.
+    this->removeFromLoad(Flow);
+    this->addToLoad(Flow, Header.Slots, Now);
+    return;
+  }
+}
+
+void SteeringAgentLogic::trackResponse(SteeringAgentFlow &Flow,
+                                       const PacketView &Packet, Instant Now,
+                                       SteerActionList &Out) {
+  const bool WasOpen = Flow.Request.isOpen();
+  if (Flow.Request.onUpstreamPacket(Packet)) {
+    const Duration Elapsed = Now - Flow.LoadSince;
+    Out.emplace_back(ObserveLatency{Elapsed});
+    if (Flow.FoundFreeSlot) {
+      this->ServiceTime.addUnqueued(Elapsed);
+    }
+    this->ServiceTime.addResponse(this->Load, this->Slots, Now);
+  }
+  const bool Ends = Packet.Flags.Fin || Packet.Flags.Rst;
+  if (!Flow.Request.isOpen() && (WasOpen || Ends)) {
+    this->removeFromLoad(Flow);
+  }
+}
+
 void SteeringAgentLogic::onUpstreamPacket(const RoutedPacket &Packet,
                                           Instant Now, SteerActionList &Out) {
   this->ReleasedBytes.clear();
@@ -309,6 +344,7 @@
     }
     // The agent has restarted while the upstream kept the flow.
     Found = this->Flows.emplace(Key, SteeringAgentFlow()).first;
+    Found->second.Request = RequestTracker(Packet.View.Acknowledgment);
     Found->second.LoadSince = Now;
   }
   SteeringAgentFlow &Flow = Found->second;
@@ -316,19 +352,7 @@
   if (Packet.View.Flags.Syn && Packet.View.Flags.Ack) {
     Flow.UpstreamSequence = Packet.View.Sequence;
   }
-  const bool Ends = Packet.View.Flags.Fin || Packet.View.Flags.Rst;
-  if (!Packet.View.Payload.empty() || Ends) {
-    if (Flow.CountedInLoad && Flow.HasRequest) {
-      const Duration Elapsed = Now - Flow.LoadSince;
-      Out.emplace_back(ObserveLatency{Elapsed});
-      if (Flow.FoundFreeSlot) {
-        this->ServiceTime.addUnqueued(Elapsed);
-      }
-      this->ServiceTime.addResponse(this->Load, this->Slots, Now);
-    }
-    this->removeFromLoad(Flow);
-    Flow.HasRequest = false;
-  }
+  this->trackResponse(Flow, Packet.View, Now, Out);
   this->notifyBalancer(Key, Flow, Out);
   if (Packet.View.Flags.Rst) {
     this->erase(Found);
@@ -405,10 +429,40 @@
                                    Instant Now) {
   Flow.FoundFreeSlot = this->Load < Slots;
   Flow.CountedInLoad = true;
+  Flow.ReportedOverdue = false;
   Flow.LoadSince = Now;
   ++this->Load;
 }
 
+void SteeringAgentLogic::checkLoad(const FlowKey &Key, SteeringAgentFlow &Flow,
+                                   Instant Now, SteerActionList &Out) {
+  if (!Flow.CountedInLoad) {
+    return;
+  }
+  const Duration Age = Now - Flow.LoadSince;
+  const Duration Timeout = Flow.Request.expectsMoreData()
+                               ? std::min(Flow.LoadTimeout, TransferLoadTimeout)
+                               : Flow.LoadTimeout;
+  RecordDecision Record;
+  Record.Flow = Key;
+  Record.Load = this->Load;
+  Record.Slots = this->Slots;
+  Record.Age = Age;
+  if (Age >= Timeout) {
+    Record.Kind = Decision::LoadExpired;
+    Out.emplace_back(Record);
+    this->removeFromLoad(Flow);
+  } else if (Age >= OverdueFactor * this->ServiceTime.expectedTime(
+                                        this->Load, this->Slots)) {
+    ++this->Overdue;
+    if (!Flow.ReportedOverdue) {
+      Flow.ReportedOverdue = true;
+      Record.Kind = Decision::RequestOverdue;
+      Out.emplace_back(Record);
+    }
+  }
+}
+
 void SteeringAgentLogic::removeFromLoad(SteeringAgentFlow &Flow) {
   if (Flow.CountedInLoad) {
     Flow.CountedInLoad = false;
@@ -430,6 +484,7 @@
   this->Awaited.clear();
   this->HeldOpenings.clear();
   this->Load = 0;
+  this->Overdue = 0;
   this->ServiceTime = {};
   this->UnansweredOpenings = 0;
   this->Silent = false;
@@ -456,11 +511,10 @@
     return;
   }
   this->NextSweep = Now + SweepPeriod;
+  this->Overdue = 0;
   for (auto Entry = this->Flows.begin(); Entry != this->Flows.end();) {
     SteeringAgentFlow &Flow = Entry->second;
-    if (Flow.CountedInLoad && Now - Flow.LoadSince >= RequestLoadTimeout) {
-      this->removeFromLoad(Flow);
-    }
+    this->checkLoad(Entry->first, Flow, Now, Out);
     if (Now - Flow.LastSeen >= SteeringAgentFlowTimeout) {
       this->removeFromLoad(Flow);
       Entry = this->Flows.erase(Entry);
--- a/test/steer-samples.h
+++ b/test/steer-samples.h
@@ -59,12 +59,15 @@
   return Packet;
 }
 
-/// Returns a packet from the upstream.
+/// Returns a packet from the upstream: a SYN-ACK, or a response after it to the
+/// request that `callerPacket` returns.
 inline RoutedPacket answer(std::uint16_t Port, bool IsHandshake) {
   RoutedPacket Packet;
   Packet.View.Source = Orders;
   Packet.View.Destination = flowOf(Port).Caller;
-  Packet.View.Sequence = 5000U + Port;
+  Packet.View.Sequence = 5000U + Port + (IsHandshake ? 0U : 1U);
+  Packet.View.Acknowledgment =
+      Port + (IsHandshake ? 1U : static_cast<std::uint32_t>(anyBytes().size()));
   Packet.View.Flags.Ack = true;
   Packet.View.Flags.Syn = IsHandshake;
   if (!IsHandshake) {
--- a/test/gate-test.cc
+++ b/test/steering-agent-test.cc
@@ -133,6 +133,94 @@
   EXPECT_EQ(only<ObserveLatency>(Out).size(), 1U);
 }
 
+/// Returns one segment of a caller's data at an offset from its first byte.
+RoutedPacket segment(std::uint16_t Port, std::uint32_t Offset,
+                     std::size_t Length) {
+  static const std::vector<std::uint8_t> Bytes(1200, 1);
+  RoutedPacket Packet = callerPacket(Port, 5001U + Port, false);
+  Packet.View.Sequence = Port + 1U + Offset;
+  Packet.View.Payload = PacketBytes(Bytes).first(Length);
+  return Packet;
+}
+
+/// Returns a response with FIN after `Received` bytes of the caller.
+RoutedPacket lastResponse(std::uint16_t Port, std::uint32_t Received) {
+  RoutedPacket Packet = answer(Port, false);
+  Packet.View.Acknowledgment = Port + 1U + Received;
+  Packet.View.Flags.Fin = true;
+  return Packet;
+}
+
+// Replays an upload whose segments arrive reordered. Guards against a copy of
+// an old segment, which arrives after the response and FIN and counted as a
+// request that kept a slot busy for 10 s.
+TEST_F(SteeringAgentTest, RetransmittedSegmentIsNoRequest) {
+  (void)this->steer(header(), opening(9));
+  (void)this->fromUpstream(answer(9, true));
+  for (const std::uint32_t Offset : {0U, 2400U, 1200U, 3600U}) {
+    (void)this->steer(header(),
+                      segment(9, Offset, Offset == 3600 ? 400 : 1200));
+  }
+  EXPECT_EQ(this->Agent.load(), 1U);
+  (void)this->fromUpstream(lastResponse(9, 4000));
+  EXPECT_EQ(this->Agent.load(), 0U);
+  (void)this->steer(header(), segment(9, 1200, 1200));
+  EXPECT_EQ(this->Agent.load(), 0U);
+}
+
+// Guards against refusals because of callers with slow links: the estimate of
+// the service time grew with the time that an upload took to arrive.
+TEST_F(SteeringAgentTest, TransferTimeIsNotServiceTime) {
+  const Duration Before = this->Agent.serviceTime();
+  for (std::uint16_t Port = 1; Port <= 20; ++Port) {
+    (void)this->steer(header(), opening(Port));
+    (void)this->fromUpstream(answer(Port, true));
+    (void)this->steer(header(), segment(Port, 0, 1200));
+    this->Now += milliseconds(300);
+    (void)this->steer(header(), segment(Port, 1200, 400));
+    this->Now += milliseconds(5);
+    (void)this->fromUpstream(lastResponse(Port, 1600));
+  }
+  EXPECT_LT(this->Agent.serviceTime(), Before);
+}
+
+// Guards against slots that count as busy for 10 s because callers went away in
+// the middle of their uploads.
+TEST_F(SteeringAgentTest, LoadOfAnUnfinishedUploadExpires) {
+  (void)this->steer(header(), opening(9));
+  (void)this->fromUpstream(answer(9, true));
+  (void)this->steer(header(), segment(9, 0, 1200));
+  (void)this->steer(header(), segment(9, 1200, 1200));
+  this->Now += TransferLoadTimeout;
+  SteerActionList Out;
+  this->Agent.onTick(this->Now, Out);
+  EXPECT_TRUE(decided(Out, Decision::LoadExpired));
+  EXPECT_EQ(this->Agent.load(), 0U);
+}
+
+// Guards against load that stays wrong without a trace.
+TEST_F(SteeringAgentTest, RequestWithoutResponseIsReportedOnceAndExpires) {
+  this->beginRequest(1);
+  int Reports = 0;
+  while (this->Agent.load() == 1) {
+    this->Now += milliseconds(250);
+    SteerActionList Out;
+    this->Agent.onTick(this->Now, Out);
+    Reports += decided(Out, Decision::RequestOverdue) ? 1 : 0;
+    ASSERT_LE(this->Now - Instant(std::chrono::hours(1)), RequestLoadTimeout);
+  }
+  EXPECT_EQ(Reports, 1);
+}
+
+// Guards against load that outlives a flow which its caller has reset.
+TEST_F(SteeringAgentTest, CallersResetEndsItsLoad) {
+  this->beginRequest(1);
+  RoutedPacket Reset = callerPacket(1, 5002, false);
+  Reset.View.Flags.Rst = true;
+  EXPECT_EQ(only<ForwardToUpstream>(this->steer(header(), Reset)).size(), 1U);
+  EXPECT_EQ(this->Agent.load(), 0U);
+}
+
 TEST_F(SteeringAgentTest, ReturnedPacketGoesToTheNextCandidate) {
   const auto ToUpstream = only<ForwardToUpstream>(
       this->steer(header({2}), callerPacket(9, 1, true)));
