Reset flows that no upstream holds any more

Cause: callers of long flows went on sending on flows whose upstream had restarted, until their deadline of 4 s.

Change: two proofs that a flow is gone, each followed by a reset at the caller's acknowledgment number. - An agent's upstream returns a packet that acknowledges this upstream's own sequence numbers: no other one can hold the flow. - A search that lists all upstreams of the route, in their present incarnations, ends with NotHeld; the list has settled after the last outage of the store (2.5 s), or all upstreams have started together with the balancer; and a read of the store that began after the notice lists no upstream that was not asked. Any doubt means silence, as before. An owner that returns a packet is forgotten, so that the next packet is searched for. Log lines flow_not_held, flow_not_held_ignored, flow_reset, owner_forgotten and search_unanswered tell the outcomes of a search apart.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -9,17 +9,20 @@
 #include <atomic>
 #include <chrono>
 #include <concepts>
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <span>
+#include <stop_token>
 #include <string>
 #include <string_view>
 #include <type_traits>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "mulberryhoist/types.h"
@@ -77,18 +80,33 @@
   UpstreamState State = UpstreamState::Ready;
   /// The creation revision of the entry at the source; greater is newer.
   std::uint64_t Registered = 0;
+  /// When the upstream started, in Unix time by its own clock; 0 if unknown.
+  std::chrono::milliseconds StartedAt{0};
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
 };
 
+/// How far a list of upstreams can be trusted to be complete.
+struct Completeness {
+  /// How many upstreams and restarts of upstreams were listed so far. A search
+  /// has covered all upstreams if the number has not changed since.
+  std::uint32_t Additions = 0;
+  /// When the upstreams that were missing after an outage of the source have
+  /// registered again; empty while the source is unavailable.
+  std::optional<Instant> SettledAt;
+};
+
 /// An immutable snapshot of routes and upstreams.
 class Directory {
 public:
-  Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams);
+  Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
+            Completeness Listing = {});
 
   std::uint64_t version() const { return this->Version; }
 
+  const Completeness &completeness() const { return this->Listing; }
+
   /// Returns the route of an address, or null if there is none.
   const Route *findRoute(Endpoint Address) const;
 
@@ -115,6 +133,7 @@
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
+  Completeness Listing;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
   std::unordered_set<std::uint32_t> Agents;
@@ -154,6 +173,12 @@
 
   bool isSourceLost() const { return this->SourceLost; }
 
+  /// Returns whether the directory has all upstreams of a list from the source,
+  /// in their present incarnations.
+  bool hasAll(std::span<const ListedUpstream> Listed) const;
+
+  const Completeness &completeness() const { return this->Listing; }
+
   /// Marks missing upstreams as gone after their grace period, and evicts those
   /// that have been gone for `GoneRetention`.
   void onTick(Instant Now);
@@ -180,6 +205,7 @@
 
   RouteSet Routes;
   std::map<std::string, Entry, std::less<>> Entries;
+  Completeness Listing;
   bool HasRoutes = false;
   bool HasListing = false;
   bool SourceLost = true;
@@ -188,6 +214,15 @@
   std::shared_ptr<const Directory> Cached;
 };
 
+/// A list that was read from the source, and that added nothing to the
+/// directory.
+struct Confirmation {
+  /// When the read began.
+  Instant ReadAt;
+  /// `Completeness::Additions` of the directory after the read.
+  std::uint32_t Additions = 0;
+};
+
 /// A directory that several threads update and read.
 class SharedDirectory {
 public:
@@ -217,6 +252,38 @@
     return this->Published.load();
   }
 
+  /// Requests that the list of upstreams is read again. Thread-safe.
+  void requestConfirmation() {
+    const std::scoped_lock Guard(this->Lock);
+    this->IsConfirmationRequested = true;
+    this->ConfirmationRequested.notify_all();
+  }
+
+  /// Waits for a request, and returns false if a stop is requested first.
+  bool awaitConfirmationRequest(const std::stop_token &Stop) {
+    std::unique_lock Guard(this->Lock);
+    return this->ConfirmationRequested.wait(Guard, Stop, [this] {
+      return std::exchange(this->IsConfirmationRequested, false);
+    });
+  }
+
+  /// Compares a list, whose read began at `ReadAt`, with the directory, and
+  /// returns whether it confirms the directory. Thread-safe.
+  bool confirm(std::span<const ListedUpstream> Listed, Instant ReadAt) {
+    const std::scoped_lock Guard(this->Lock);
+    if (!this->Builder.hasAll(Listed)) {
+      return false;
+    }
+    this->LastConfirmation = {ReadAt, this->Builder.completeness().Additions};
+    return true;
+  }
+
+  /// Returns the last confirmation, if there is any. Thread-safe.
+  std::optional<Confirmation> confirmation() {
+    const std::scoped_lock Guard(this->Lock);
+    return this->LastConfirmation;
+  }
+
 private:
   void publish() {
     if (this->Builder.isComplete()) {
@@ -226,6 +293,9 @@
 
   std::mutex Lock;
   DirectoryBuilder Builder;
+  std::condition_variable_any ConfirmationRequested;
+  bool IsConfirmationRequested = false;
+  std::optional<Confirmation> LastConfirmation;
   std::atomic<std::shared_ptr<const Directory>> Published;
 };
 
--- a/include/mulberryhoist/packet-format.h
+++ b/include/mulberryhoist/packet-format.h
@@ -31,15 +31,16 @@
 template <typename T>
 concept PacketFormat = requires(PacketBytes Bytes,
                                 std::span<std::uint8_t> Writable,
-                                std::uint32_t Tag, const FlowKey &Flow) {
+                                std::uint32_t Tag, const FlowKey &Flow,
+                                std::uint32_t Sequence) {
   { T::parse(Bytes) } -> std::same_as<Result<RoutedPacket>>;
   // Prepares the packet for an upstream: clears the returned flag and writes
   // the tag.
   { T::prepare(Writable, Tag) } -> std::same_as<void>;
   // Restores the packet to what its sender wrote.
   { T::restore(Writable) } -> std::same_as<void>;
-  // Builds the refusal of an opening, from the service address to the caller.
-  { T::makeRefusal(Flow) } -> std::same_as<std::vector<std::uint8_t>>;
+  // Builds a reset from the service address to the caller.
+  { T::makeReset(Flow, Sequence) } -> std::same_as<std::vector<std::uint8_t>>;
 };
 
 } // namespace mulberryhoist
--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -34,7 +34,13 @@
   OpeningRefused,     ///< No candidate can serve the opening in time.
   OpeningDropped,     ///< The agent leaves and there is no other candidate.
   PacketReturned,     ///< The upstream does not own the flow.
-  OwnerNotFound,      ///< No candidate owns the flow.
+  OwnerNotFound,      ///< All candidates have returned the packet.
+  OwnerForgotten,     ///< The cached owner has returned a packet of the flow.
+  SearchUnanswered,   ///< No owner found, and some candidate did not answer.
+  FlowNotHeld,        ///< No upstream holds the flow; to be confirmed.
+  FlowNotHeldIgnored, ///< The same, but the list of upstreams may be
+                      ///< incomplete.
+  FlowReset,          ///< The caller was told that its flow is gone.
   WrongService,       ///< The packet is for another service.
   AgentSuspected,     ///< An agent does not answer.
   AgentLeaving,       ///< An agent accepts no new flows.
@@ -47,7 +53,7 @@
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 26;
+inline constexpr std::size_t DecisionCount = 31;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
@@ -77,6 +83,14 @@
   FlowKey Flow;
 };
 
+/// Notifies the caller that no upstream holds its open flow. This promises
+/// nothing about its requests.
+struct ResetFlow {
+  FlowKey Flow;
+  /// The last sequence number that the caller has acknowledged.
+  std::uint32_t Sequence = 0;
+};
+
 /// Logs and counts a decision with its inputs.
 struct RecordDecision {
   Decision Kind = Decision::OpeningSent;
@@ -97,8 +111,9 @@
 
 /// Any action. Packet bytes are valid until the next call into the logic or
 /// until the input buffer is reused.
-using SteerAction = std::variant<SendSteer, ForwardToUpstream, ForwardToCaller,
-                                 RejectOpening, RecordDecision, ObserveLatency>;
+using SteerAction =
+    std::variant<SendSteer, ForwardToUpstream, ForwardToCaller, RejectOpening,
+                 ResetFlow, RecordDecision, ObserveLatency>;
 
 /// The list that decision logic appends to; the process clears and reuses it.
 using SteerActionList = std::vector<SteerAction>;
--- a/include/mulberryhoist/steer-io.h
+++ b/include/mulberryhoist/steer-io.h
@@ -105,8 +105,13 @@
   }
 
   void send(const RejectOpening &Each) {
+    // An opening that is not answered yet is reset at any sequence number.
+    this->send(ResetFlow{Each.Flow, 0});
+  }
+
+  void send(const ResetFlow &Each) {
     this->transmit({Each.Flow.Caller.Address, this->CallerPort},
-                   Format::makeRefusal(Each.Flow));
+                   Format::makeReset(Each.Flow, Each.Sequence));
   }
 
   PacketBytes restoredPacket(const SendSteer &Each) {
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -91,6 +91,10 @@
   Candidate LeastLoaded{0, 0};
   std::uint32_t LeastLoad = 0;
   std::uint32_t Hops = 0;
+  /// Set if the receiver and `Next` are all upstreams that can hold the flow:
+  /// the value of `Directory::additions` that the list was made from, which is
+  /// never 0 then.
+  std::uint32_t Search = 0;
 };
 
 /// Notifies a balancer that the sender is the owner of a flow or holds its
@@ -109,6 +113,16 @@
   FlowIncarnation Flow;
 };
 
+/// Notifies a balancer that each upstream to which a packet was sent has
+/// returned it.
+struct NotHeld {
+  FlowKey Flow;
+  /// `Steer::Search` of the packet's message.
+  std::uint32_t Search = 0;
+  /// The acknowledgment number of the packet.
+  std::uint32_t Acknowledgment = 0;
+};
+
 /// Checks whether an agent is alive.
 struct Check {
   std::uint64_t Sequence = 0;
@@ -121,7 +135,8 @@
 };
 
 /// Any message of the steered path.
-using SteerMessage = std::variant<Steer, Taken, Refused, Check, CheckReply>;
+using SteerMessage =
+    std::variant<Steer, Taken, Refused, NotHeld, Check, CheckReply>;
 
 /// A decoded datagram; `Packet` points into the decoded bytes.
 struct SteerDatagram {
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -22,6 +22,9 @@
   Endpoint Peers;
   /// The port on which callers receive packets.
   std::uint16_t CallerPort = 0;
+  /// When the process started, and the same in Unix time.
+  Instant StartedAt;
+  std::chrono::milliseconds StartedAtUnix{0};
 };
 
 /// The sockets of a balancer and the event loop that serves them.
@@ -48,8 +51,9 @@
   /// Runs the event loop until a stop is requested; each run starts with new
   /// decision logic, while the sockets stay bound.
   Result<void> run(const std::stop_token &Stop) {
-    SteeringLogic Logic(
-        {this->Settings.Peers.Address, this->Settings.Peers.Port});
+    SteeringLogic Logic({this->Settings.Peers.Address,
+                         this->Settings.Peers.Port, this->Settings.StartedAt,
+                         this->Settings.StartedAtUnix});
     SteerActionList Out;
     Out.reserve(SteerActionReserve);
     std::shared_ptr<const Directory> Applied;
@@ -59,6 +63,7 @@
       const bool HasNoPackets = this->readPackets(Logic, Out, Now);
       const bool HasNoMessages = this->readMessages(Logic, Out, Now);
       Logic.onTick(Now, Out);
+      this->exchangeConfirmations(Logic, Out);
       this->Output.perform(Out, Now);
       if (HasNoPackets && HasNoMessages) {
         this->waitForInput(Logic);
@@ -120,6 +125,17 @@
     });
   }
 
+  void exchangeConfirmations(SteeringLogic &Logic, SteerActionList &Out) {
+    if (Logic.takeConfirmationRequest()) {
+      this->Directories.requestConfirmation();
+    }
+    if (Logic.awaitsConfirmation()) {
+      if (const auto Latest = this->Directories.confirmation()) {
+        Logic.onConfirmation(*Latest, Out);
+      }
+    }
+  }
+
   void handleMessage(SteeringLogic &Logic, Endpoint From,
                      const SteerMessage &Body, SteerActionList &Out,
                      Instant Now) {
@@ -127,6 +143,8 @@
       Logic.onTaken(From, *Notice, Now, Out);
     } else if (const auto *Refusal = std::get_if<Refused>(&Body)) {
       Logic.onRefused(From, *Refusal, Now, Out);
+    } else if (const auto *Returned = std::get_if<NotHeld>(&Body)) {
+      Logic.onNotHeld(From, *Returned, Now, Out);
     } else if (const auto *Reply = std::get_if<CheckReply>(&Body)) {
       Logic.onCheckReply(From, *Reply, Now, Out);
     } else {
@@ -138,7 +156,9 @@
 
   void waitForInput(const SteeringLogic &Logic) {
     const Instant Now = now();
-    const Instant Latest = Now + LongestWait;
+    const Instant Latest =
+        Now +
+        (Logic.awaitsConfirmation() ? ConfirmationPollPeriod : LongestWait);
     const Instant Until = std::min(Logic.nextDue().value_or(Latest), Latest);
     const std::array<const DatagramSocket *, 2> Sockets = {&this->Packets,
                                                            &this->Peers};
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "mulberryhoist/directory.h"
@@ -55,6 +56,25 @@
 /// is sent without resends.
 inline constexpr std::size_t MaxUnansweredOpenings = 16'384;
 
+/// How long the answer to a search is awaited before it is reported as
+/// unanswered; longer than a request of the slowest class takes.
+inline constexpr Duration SearchTimeout = std::chrono::seconds(1);
+
+/// The most searches whose answers are awaited, and the most flows without
+/// holder that wait for a confirmation.
+inline constexpr std::size_t MaxSearches = 4'096;
+
+/// How long a flow without holder waits for the source to confirm the list of
+/// upstreams; later, its caller has sent the packet again.
+inline constexpr Duration ConfirmationTimeout = std::chrono::seconds(1);
+
+/// How often the data thread looks for a confirmation that it awaits.
+inline constexpr Duration ConfirmationPollPeriod = std::chrono::milliseconds(5);
+
+/// How much earlier than the balancer an upstream may have started to have
+/// restarted together with it; clocks of VMs differ by less.
+inline constexpr std::chrono::milliseconds JointRestartSpan{3000};
+
 /// The gap between two ticks above which time-outs are restarted: replies may
 /// be unread in the socket.
 inline constexpr Duration SteeringPauseThreshold =
@@ -66,6 +86,9 @@
   std::uint32_t Address = 0;
   /// The port on which all balancers and agents receive messages.
   std::uint16_t PeerPort = 0;
+  /// When the process started, and the same in Unix time; 0 if unknown.
+  Instant StartedAt;
+  std::chrono::milliseconds StartedAtUnix{0};
 };
 
 /// Why an agent is offered no new flows.
@@ -91,6 +114,24 @@
   void onRefused(Endpoint From, const Refused &Body, Instant Now,
                  SteerActionList &Out);
 
+  /// Handles an agent's notice that all upstreams to which a packet was sent
+  /// have returned it.
+  void onNotHeld(Endpoint From, const NotHeld &Body, Instant Now,
+                 SteerActionList &Out);
+
+  /// Returns whether flows without holder wait for a confirmation.
+  bool awaitsConfirmation() const { return !this->FlowsNotHeld.empty(); }
+
+  /// Returns whether the source must be asked for a confirmation, and considers
+  /// it asked.
+  bool takeConfirmationRequest() {
+    return std::exchange(this->NeedsConfirmation, false);
+  }
+
+  /// Resets the flows whose searches covered all upstreams that the source
+  /// lists.
+  void onConfirmation(const Confirmation &Latest, SteerActionList &Out);
+
   /// Handles an agent's reply to a check, or its notice that it is leaving.
   void onCheckReply(Endpoint From, const CheckReply &Body, Instant Now,
                     SteerActionList &Out);
@@ -150,11 +191,32 @@
     Avoidance Avoided = Avoidance::None;
   };
 
+  /// A packet that was sent to all upstreams.
+  struct Search {
+    FlowKey Flow;
+    Instant SentAt;
+  };
+
+  /// A flow whose packet all upstreams have returned.
+  struct FlowNotHeld {
+    std::uint32_t Search = 0;
+    std::uint32_t Acknowledgment = 0;
+    Instant ReportedAt;
+  };
+
   using OwnerMap = std::unordered_map<FlowKey, FlowOwners>;
 
   void onOpening(const RoutedPacket &Packet, Instant Now, SteerActionList &Out);
-  void onFlowPacket(const RoutedPacket &Packet, SteerActionList &Out);
-  void locateOwner(const RoutedPacket &Packet, SteerActionList &Out);
+  void onFlowPacket(const RoutedPacket &Packet, Instant Now,
+                    SteerActionList &Out);
+  void locateOwner(const RoutedPacket &Packet, Instant Now,
+                   SteerActionList &Out);
+  void forgetOwner(const FlowKey &Key, std::uint32_t Agent,
+                   SteerActionList &Out);
+  /// Returns whether no living upstream of the route can be missing from the
+  /// directory, provided that the source confirms it.
+  bool isListingComplete(const Route &Matched, Instant Now) const;
+  void expireSearches(Instant Now, SteerActionList &Out);
   void sendTo(std::uint32_t Agent, const Steer &Header, PacketBytes Bytes,
               SteerActionList &Out) const;
   FlowOwners *findOwners(const FlowKey &Key);
@@ -180,6 +242,11 @@
   std::unordered_map<FlowKey, UnansweredOpening> UnansweredOpenings;
   /// Ordered by time, since all delays are equal.
   std::deque<ResendDeadline> ResendQueue;
+  /// Searches without an answer, by flow, and the same in order of time.
+  std::unordered_map<FlowKey, Instant> Searches;
+  std::deque<Search> SearchQueue;
+  std::unordered_map<FlowKey, FlowNotHeld> FlowsNotHeld;
+  bool NeedsConfirmation = false;
   std::unordered_map<std::uint32_t, AgentHealth> Agents;
   std::optional<Instant> NextCheckAt;
   std::optional<Instant> LastTickAt;
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -39,6 +39,9 @@
   Parsed.Address = From.at("address").get<std::uint32_t>();
   Parsed.Slots = From.at("slots").get<std::uint32_t>();
   Parsed.Registered = From.at("registered").get<std::uint64_t>();
+  // Balancers of an older version do not send it.
+  Parsed.StartedAt =
+      std::chrono::milliseconds(From.value("started_at_ms", std::int64_t{0}));
   Parsed.State = From.at("ready").get<bool>() ? UpstreamState::Ready
                                               : UpstreamState::Draining;
   return Parsed;
@@ -61,6 +64,7 @@
                            {"address", Each.Address},
                            {"slots", Each.Slots},
                            {"registered", Each.Registered},
+                           {"started_at_ms", Each.StartedAt.count()},
                            {"ready", Each.State == UpstreamState::Ready}});
     }
   });
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -17,6 +17,12 @@
        {"slots", std::int64_t{Each.Slots}}});
 }
 
+/// Returns whether two entries of one name describe the same process.
+bool isSameIncarnation(const ListedUpstream &A, const ListedUpstream &B) {
+  return A.Registered == B.Registered && A.StartedAt == B.StartedAt &&
+         A.Address == B.Address && A.Service == B.Service;
+}
+
 } // namespace
 
 std::string_view upstreamStateName(UpstreamState State) {
@@ -31,8 +37,10 @@
   return "gone";
 }
 
-Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams)
-    : Version(Routes.Version), Routes(std::move(Routes.Routes)) {
+Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
+                     Completeness Listing)
+    : Version(Routes.Version), Routes(std::move(Routes.Routes)),
+      Listing(Listing) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
@@ -87,6 +95,9 @@
   if (IsSame) {
     return;
   }
+  if (IsNew || !isSameIncarnation(Existing.Listed, Changed)) {
+    ++this->Listing.Additions;
+  }
   Existing.Listed = std::move(Changed);
   logUpstream(IsNew ? "upstream listed" : "upstream changed", Existing.Listed);
   this->Cached = nullptr;
@@ -129,6 +140,7 @@
   if (this->SourceLost) {
     log(LogLevel::Info, "source of the directory available",
         {{"upstreams", static_cast<std::int64_t>(All.size())}});
+    this->Listing.SettledAt = Now + ReregistrationGrace;
   }
   this->SourceLost = false;
   this->HasListing = true;
@@ -160,6 +172,16 @@
          {"upstreams", static_cast<std::int64_t>(this->Entries.size())}});
   }
   this->SourceLost = true;
+  this->Listing.SettledAt.reset();
+  this->Cached = nullptr;
+}
+
+bool DirectoryBuilder::hasAll(std::span<const ListedUpstream> Listed) const {
+  return std::ranges::all_of(Listed, [this](const ListedUpstream &Each) {
+    const auto Found = this->Entries.find(Each.Name);
+    return Found != this->Entries.end() &&
+           isSameIncarnation(Found->second.Listed, Each);
+  });
 }
 
 void DirectoryBuilder::onTick(Instant Now) {
@@ -194,7 +216,8 @@
         All.back().State = UpstreamState::Gone;
       }
     }
-    this->Cached = std::make_shared<const Directory>(this->Routes, All);
+    this->Cached =
+        std::make_shared<const Directory>(this->Routes, All, this->Listing);
   }
   return this->Cached;
 }
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -29,6 +29,7 @@
   To.set_least_slots(From.LeastLoaded.Slots);
   To.set_least_load(From.LeastLoad);
   To.set_hops(From.Hops);
+  To.set_search(From.Search);
 }
 
 void write(const Taken &From, proto::SteerEnvelope &Envelope) {
@@ -43,6 +44,13 @@
   detail::writeFlow(From.Flow, *Envelope.mutable_refused()->mutable_flow());
 }
 
+void write(const NotHeld &From, proto::SteerEnvelope &Envelope) {
+  proto::NotHeld &To = *Envelope.mutable_not_held();
+  detail::writeFlow({From.Flow, 0}, *To.mutable_flow());
+  To.set_search(From.Search);
+  To.set_acknowledgment(From.Acknowledgment);
+}
+
 void write(const Check &From, proto::SteerEnvelope &Envelope) {
   Envelope.mutable_check()->set_sequence(From.Sequence);
 }
@@ -85,6 +93,7 @@
   To.LeastLoaded = {From.least_loaded(), From.least_slots()};
   To.LeastLoad = From.least_load();
   To.Hops = From.hops();
+  To.Search = From.search();
   return To;
 }
 
@@ -101,6 +110,14 @@
   return Flow ? std::optional<SteerMessage>(Refused{*Flow}) : std::nullopt;
 }
 
+std::optional<SteerMessage> read(const proto::NotHeld &From) {
+  const auto Flow = detail::readFlow(From);
+  if (!Flow) {
+    return std::nullopt;
+  }
+  return NotHeld{Flow->Key, From.search(), From.acknowledgment()};
+}
+
 /// The schema of the steered path's envelopes; only `Steer` carries a packet.
 struct Schema {
   using Typed = SteerMessage;
@@ -118,6 +135,8 @@
       return read(From.taken());
     case Envelope::kRefused:
       return read(From.refused());
+    case Envelope::kNotHeld:
+      return read(From.not_held());
     case Envelope::kCheck:
       return Check{From.check().sequence()};
     case Envelope::kCheckReply:
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -250,6 +250,12 @@
     Out.emplace_back(this->record(IsOpening ? Decision::OpeningDropped
                                             : Decision::OwnerNotFound,
                                   Key, Header));
+    if (!IsOpening) {
+      Out.emplace_back(
+          SendSteer{{Header.Balancer, this->Settings.PeerPort},
+                    NotHeld{Key, Header.Search, Packet.View.Acknowledgment},
+                    {}});
+    }
     return;
   }
   Steer NextHeader = Header;
@@ -389,9 +395,19 @@
     return;
   }
   if (!Packet.View.isOpening()) {
+    const bool IsLost =
+        Found != this->Flows.end() &&
+        Found->second.Request.hasSent(Packet.View.Acknowledgment);
     if (Found != this->Flows.end()) {
       this->erase(Found);
     }
+    if (IsLost && !Packet.View.Flags.Rst) {
+      // The caller acknowledges sequence numbers of this upstream, so that no
+      // other one can hold the flow: the upstream has restarted.
+      Out.emplace_back(this->record(Decision::FlowReset, Key, *Header));
+      Out.emplace_back(ResetFlow{Key, Packet.View.Acknowledgment});
+      return;
+    }
     this->forwardToNext(*Header, Packet, Out);
     return;
   }
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -110,7 +110,7 @@
   if (Packet.View.isOpening()) {
     this->onOpening(Packet, Now, Out);
   } else {
-    this->onFlowPacket(Packet, Out);
+    this->onFlowPacket(Packet, Now, Out);
   }
 }
 
@@ -189,12 +189,12 @@
   }
 }
 
-void SteeringLogic::onFlowPacket(const RoutedPacket &Packet,
+void SteeringLogic::onFlowPacket(const RoutedPacket &Packet, Instant Now,
                                  SteerActionList &Out) {
   const FlowKey Key = Packet.View.callerFlow();
   FlowOwners *Owners = this->findOwners(Key);
   if (Owners == nullptr) {
-    this->locateOwner(Packet, Out);
+    this->locateOwner(Packet, Now, Out);
     return;
   }
   if (!Owners->IsAcknowledged && Owners->Second.Agent != 0 &&
@@ -218,7 +218,7 @@
   this->sendTo(Owners->First.Agent, Header, Packet.Bytes, Out);
 }
 
-void SteeringLogic::locateOwner(const RoutedPacket &Packet,
+void SteeringLogic::locateOwner(const RoutedPacket &Packet, Instant Now,
                                 SteerActionList &Out) {
   const FlowKey Key = Packet.View.callerFlow();
   const Route *Matched = this->InForce->findRoute(Key.Service);
@@ -250,9 +250,124 @@
   }
   sortAndDeduplicate(Order);
   setAlternatives(Order, MaxSteerCandidates, Header);
+  const bool IsWhole = Header.Next.size() + 1 == Order.size() &&
+                       Header.Services.size() == Matched->Targets.size();
+  if (IsWhole && !Packet.View.Flags.Rst) {
+    Header.Search = this->InForce->completeness().Additions;
+  }
   const std::uint32_t First = Order.front().Target.Agent;
   Out.emplace_back(record(Decision::OwnerSought, Key, First));
   this->sendTo(First, Header, Packet.Bytes, Out);
+  // The owner answers data; other packets may stay without an answer.
+  if (!Packet.View.Payload.empty() && this->Searches.size() < MaxSearches &&
+      this->Searches.try_emplace(Key, Now).second) {
+    this->SearchQueue.push_back({Key, Now});
+  }
+}
+
+void SteeringLogic::forgetOwner(const FlowKey &Key, std::uint32_t Agent,
+                                SteerActionList &Out) {
+  const FlowOwners *Owners = this->findOwners(Key);
+  if (Owners != nullptr &&
+      (Owners->First.Agent == Agent || Owners->Second.Agent == Agent)) {
+    this->RecentOwners.erase(Key);
+    Out.emplace_back(record(Decision::OwnerForgotten, Key, Agent));
+  }
+}
+
+bool SteeringLogic::isListingComplete(const Route &Matched, Instant Now) const {
+  const auto &SettledAt = this->InForce->completeness().SettledAt;
+  if (!SettledAt) {
+    return false;
+  }
+  if (Now >= *SettledAt) {
+    return true;
+  }
+  // Before that, an upstream that lives may not have registered again after an
+  // outage of the source. If all others have just restarted together with the
+  // balancer, the VMs have lost power, and so has that one.
+  const bool IsRecentStart =
+      this->Settings.StartedAtUnix.count() != 0 &&
+      *SettledAt - ReregistrationGrace - this->Settings.StartedAt <=
+          JointRestartSpan;
+  if (!IsRecentStart) {
+    return false;
+  }
+  return std::ranges::all_of(Matched.Targets, [this](const RouteTarget &Each) {
+    const auto Listed = this->InForce->upstreams(Each.Service);
+    return !Listed.empty() &&
+           std::ranges::all_of(Listed, [this](const ListedUpstream &Upstream) {
+             return Upstream.State == UpstreamState::Gone ||
+                    Upstream.StartedAt + JointRestartSpan >=
+                        this->Settings.StartedAtUnix;
+           });
+  });
+}
+
+void SteeringLogic::onNotHeld(Endpoint From, const NotHeld &Body, Instant Now,
+                              SteerActionList &Out) {
+  this->Searches.erase(Body.Flow);
+  if (this->InForce == nullptr) {
+    return;
+  }
+  if (Body.Search == 0) {
+    this->forgetOwner(Body.Flow, From.Address, Out);
+    return;
+  }
+  const Route *Matched = this->InForce->findRoute(Body.Flow.Service);
+  const bool MayReset =
+      Matched != nullptr &&
+      Body.Search == this->InForce->completeness().Additions &&
+      this->FlowsNotHeld.size() < MaxSearches &&
+      this->isListingComplete(*Matched, Now);
+  Out.emplace_back(
+      record(MayReset ? Decision::FlowNotHeld : Decision::FlowNotHeldIgnored,
+             Body.Flow, From.Address));
+  if (MayReset) {
+    this->FlowsNotHeld.insert_or_assign(
+        Body.Flow, FlowNotHeld{Body.Search, Body.Acknowledgment, Now});
+    this->NeedsConfirmation = true;
+  }
+}
+
+void SteeringLogic::onConfirmation(const Confirmation &Latest,
+                                   SteerActionList &Out) {
+  std::erase_if(this->FlowsNotHeld, [&](const auto &Entry) {
+    const auto &[Flow, Each] = Entry;
+    if (Each.ReportedAt > Latest.ReadAt) {
+      return false;
+    }
+    const bool MayReset =
+        Each.Search == Latest.Additions && this->findOwners(Flow) == nullptr;
+    Out.emplace_back(record(
+        MayReset ? Decision::FlowReset : Decision::FlowNotHeldIgnored, Flow));
+    if (MayReset) {
+      Out.emplace_back(ResetFlow{Flow, Each.Acknowledgment});
+    }
+    return true;
+  });
+}
+
+void SteeringLogic::expireSearches(Instant Now, SteerActionList &Out) {
+  while (!this->SearchQueue.empty() &&
+         Now - this->SearchQueue.front().SentAt >= SearchTimeout) {
+    const Search Oldest = this->SearchQueue.front();
+    this->SearchQueue.pop_front();
+    const auto Found = this->Searches.find(Oldest.Flow);
+    if (Found != this->Searches.end() && Found->second == Oldest.SentAt) {
+      this->Searches.erase(Found);
+      RecordDecision Record = record(Decision::SearchUnanswered, Oldest.Flow);
+      Record.Age = Now - Oldest.SentAt;
+      Out.emplace_back(Record);
+    }
+  }
+  std::erase_if(this->FlowsNotHeld, [&](const auto &Entry) {
+    const bool IsExpired = Now - Entry.second.ReportedAt >= ConfirmationTimeout;
+    if (IsExpired) {
+      Out.emplace_back(record(Decision::FlowNotHeldIgnored, Entry.first));
+    }
+    return IsExpired;
+  });
 }
 
 SteeringLogic::FlowOwners *SteeringLogic::findOwners(const FlowKey &Key) {
@@ -283,6 +398,7 @@
                             SteerActionList &Out) {
   this->onAgentResponse(From.Address, Body.Leaving, Now, Out);
   const FlowKey &Key = Body.Flow.Key;
+  this->Searches.erase(Key);
   RecordDecision Record = record(Decision::OwnerLearned, Key, From.Address);
   Record.Load = Body.Load;
   ServiceList Services;
@@ -510,6 +626,7 @@
   this->detectPause(Now, Out);
   this->resendOverdue(Now, Out);
   this->processChecks(Now, Out);
+  this->expireSearches(Now, Out);
 }
 
 std::optional<Instant> SteeringLogic::nextDue() const {
@@ -518,6 +635,10 @@
     const Instant At = this->ResendQueue.front().At;
     Next = Next ? std::min(*Next, At) : At;
   }
+  if (!this->SearchQueue.empty()) {
+    const Instant At = this->SearchQueue.front().SentAt + SearchTimeout;
+    Next = Next ? std::min(*Next, At) : At;
+  }
   return Next;
 }
 
--- a/test/steer-wire-test.cc
+++ b/test/steer-wire-test.cc
@@ -26,6 +26,7 @@
   Header.LeastLoaded = {agentAddress(3), 2};
   Header.LeastLoad = 9;
   Header.Hops = 5;
+  Header.Search = 0xFFFFFFFFU;
   return Header;
 }
 
@@ -51,6 +52,7 @@
   EXPECT_EQ(To.LeastLoaded, From.LeastLoaded);
   EXPECT_EQ(To.LeastLoad, From.LeastLoad);
   EXPECT_EQ(To.Hops, From.Hops);
+  EXPECT_EQ(To.Search, From.Search);
   EXPECT_EQ(Decoded->Packet.size(), anyBytes().size());
 }
 
@@ -78,6 +80,18 @@
             (FlowIncarnation{flowOf(9), 77}));
 }
 
+TEST(SteerWireTest, NotHeldKeepsItsFields) {
+  SteerCodec Codec;
+  const auto Encoded = Codec.encode(NotHeld{flowOf(9), 77, 0xFFFFFFFEU});
+  const std::vector<std::uint8_t> Bytes(Encoded->begin(), Encoded->end());
+  const auto Decoded = Codec.decode(Bytes);
+  ASSERT_TRUE(Decoded.has_value());
+  const NotHeld &To = std::get<NotHeld>(Decoded->Body);
+  EXPECT_EQ(To.Flow, flowOf(9));
+  EXPECT_EQ(To.Search, 77U);
+  EXPECT_EQ(To.Acknowledgment, 0xFFFFFFFEU);
+}
+
 // Guards against crashes by malformed datagrams from arbitrary senders.
 TEST(SteerWireTest, EveryTruncationIsATypedError) {
   SteerCodec Codec;
