Ignore older lists of peers, and answers that no request asked for

A server that had left was in use again: onPeerListing took every entry of another balancer's list, so that a balancer without its store made an upstream ready again that it knew as draining or gone. Entries now carry the revision of their last change; one that is not newer than what the builder has applied is ignored, and of two lists the newer one is taken.

A late copy of an answer on a connection in use again was taken for the answer to the next call to the store.

A malformed message could write beyond a buffer: the Base64 text of a value without padding has up to two bytes more than was allotted.

--- a/include/mulberryhoist/directory-exchange.h
+++ b/include/mulberryhoist/directory-exchange.h
@@ -24,16 +24,19 @@
 struct PeerDirectory {
   RouteSet Routes;
   std::vector<ListedUpstream> Upstreams;
-  /// Whether the source is available to the other balancer.
-  bool SourceAvailable = false;
+  SourceStatus Source;
 };
 
 /// Serializes a directory as JSON, without upstreams that are gone.
-std::string writeDirectory(const Directory &From, bool SourceAvailable);
+std::string writeDirectory(const Directory &From, const SourceStatus &Source);
 
 /// Parses the output of `writeDirectory`, or reports `MalformedMessage`.
 Result<PeerDirectory> readDirectory(std::string_view Text);
 
+/// Returns whether the directory of one balancer is preferable to another: its
+/// source is available, or else its routes or its upstreams are newer.
+bool isBetter(const PeerDirectory &A, const PeerDirectory &B);
+
 /// Fetches the directories of other balancers and applies the best one: one
 /// whose source is available, or any if there is no complete directory yet.
 /// Returns whether a directory was applied.
--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -80,6 +80,8 @@
   UpstreamState State = UpstreamState::Ready;
   /// The creation revision of the entry at the source; greater is newer.
   std::uint64_t Registered = 0;
+  /// The revision of the entry's last change at the source.
+  std::uint64_t Revision = 0;
   /// When the upstream started, in Unix time by its own clock; 0 if unknown.
   std::chrono::milliseconds StartedAt{0};
 
@@ -164,10 +166,16 @@
   /// Replaces all upstreams with a complete list from the source.
   void onListing(std::vector<ListedUpstream> All, Instant Now);
 
+  /// Records that all changes of the source up to a revision are applied.
+  void onRevision(std::uint64_t Applied);
+
   /// Merges another balancer's list of upstreams while the source is
-  /// unavailable; adds and changes upstreams but removes none.
+  /// unavailable; adds and changes upstreams but removes none. Ignores entries
+  /// that are older than what the builder knows.
   void onPeerListing(std::vector<ListedUpstream> All);
 
+  std::uint64_t revision() const { return this->AppliedRevision; }
+
   /// Marks the source as unavailable.
   void onSourceLost();
 
@@ -206,6 +214,7 @@
   RouteSet Routes;
   std::map<std::string, Entry, std::less<>> Entries;
   Completeness Listing;
+  std::uint64_t AppliedRevision = 0;
   bool HasRoutes = false;
   bool HasListing = false;
   bool SourceLost = true;
@@ -223,6 +232,13 @@
   std::uint32_t Additions = 0;
 };
 
+/// What a balancer knows of the source of its directory.
+struct SourceStatus {
+  bool IsAvailable = false;
+  /// The revision up to which all changes are applied.
+  std::uint64_t Revision = 0;
+};
+
 /// A directory that several threads update and read.
 class SharedDirectory {
 public:
@@ -241,10 +257,11 @@
     }
   }
 
-  /// Returns whether the source is available. Thread-safe.
-  bool isSourceAvailable() {
+  /// Returns whether the source is available, and up to which revision its
+  /// changes are applied. Thread-safe.
+  SourceStatus sourceStatus() {
     const std::scoped_lock Guard(this->Lock);
-    return !this->Builder.isSourceLost();
+    return {!this->Builder.isSourceLost(), this->Builder.revision()};
   }
 
   /// Returns the latest directory, or null until it is complete. Thread-safe.
--- a/include/mulberryhoist/http-session.h
+++ b/include/mulberryhoist/http-session.h
@@ -55,6 +55,10 @@
   /// answer that is not understood, and otherwise `ConfigurationUnavailable`.
   Result<HttpAnswer> get(const HttpQuery &Query, const std::stop_token &Stop);
 
+  /// Closes the connection; the next call opens another one. To be called after
+  /// an answer that cannot belong to its request.
+  void disconnect();
+
   const HttpCounters &counters() const;
 
 private:
--- a/include/mulberryhoist/steer-process.h
+++ b/include/mulberryhoist/steer-process.h
@@ -79,7 +79,7 @@
     const auto InForce = Directories.get();
     return InForce == nullptr
                ? std::string("{}")
-               : writeDirectory(*InForce, Directories.isSourceAvailable());
+               : writeDirectory(*InForce, Directories.sourceStatus());
   };
   Feeds.push_back({"data", [&DataPath](const std::stop_token &Stop) {
                      return (*DataPath)->run(Stop);
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -1,6 +1,7 @@
 #include "mulberryhoist/directory-exchange.h"
 
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 #include "mulberryhoist/http-client.h"
 #include "mulberryhoist/log.h"
@@ -39,7 +40,10 @@
   Parsed.Address = From.at("address").get<std::uint32_t>();
   Parsed.Slots = From.at("slots").get<std::uint32_t>();
   Parsed.Registered = From.at("registered").get<std::uint64_t>();
-  // Balancers of an older version do not send it.
+  // Balancers of an older version do not send these two. An entry without a
+  // revision counts as the newest.
+  constexpr auto Newest = std::numeric_limits<std::uint64_t>::max();
+  Parsed.Revision = From.value("revision", Newest);
   Parsed.StartedAt =
       std::chrono::milliseconds(From.value("started_at_ms", std::int64_t{0}));
   Parsed.State = From.at("ready").get<bool>() ? UpstreamState::Ready
@@ -49,7 +53,7 @@
 
 } // namespace
 
-std::string writeDirectory(const Directory &From, bool SourceAvailable) {
+std::string writeDirectory(const Directory &From, const SourceStatus &Source) {
   Json Routes = Json::array();
   for (const Route &Each : From.routes()) {
     Routes.push_back({Each.Address.Address, Each.Address.Port,
@@ -64,12 +68,14 @@
                            {"address", Each.Address},
                            {"slots", Each.Slots},
                            {"registered", Each.Registered},
+                           {"revision", Each.Revision},
                            {"started_at_ms", Each.StartedAt.count()},
                            {"ready", Each.State == UpstreamState::Ready}});
     }
   });
   return Json{{"version", From.version()},
-              {"source_available", SourceAvailable},
+              {"source_available", Source.IsAvailable},
+              {"revision", Source.Revision},
               {"routes", std::move(Routes)},
               {"upstreams", std::move(Upstreams)}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -80,7 +86,9 @@
     const Json Root = Json::parse(Text);
     PeerDirectory Parsed;
     Parsed.Routes.Version = Root.at("version").get<std::uint64_t>();
-    Parsed.SourceAvailable = Root.at("source_available").get<bool>();
+    Parsed.Source.IsAvailable = Root.at("source_available").get<bool>();
+    // Balancers of an older version do not send it.
+    Parsed.Source.Revision = Root.value("revision", std::uint64_t{0});
     for (const Json &Each : Root.at("routes")) {
       Parsed.Routes.Routes.push_back(readRoute(Each));
       if (Parsed.Routes.Routes.back().Targets.empty()) {
@@ -97,6 +105,11 @@
   }
 }
 
+bool isBetter(const PeerDirectory &A, const PeerDirectory &B) {
+  return std::tuple(A.Source.IsAvailable, A.Routes.Version, A.Source.Revision) >
+         std::tuple(B.Source.IsAvailable, B.Routes.Version, B.Source.Revision);
+}
+
 bool fetchDirectoryFromPeers(std::span<const Endpoint> Peers,
                              SharedDirectory &To) {
   std::optional<PeerDirectory> Best;
@@ -109,11 +122,7 @@
       logError(Peer.error());
       continue;
     }
-    const bool IsBetter = !Best ||
-                          (Peer->SourceAvailable && !Best->SourceAvailable) ||
-                          (Peer->SourceAvailable == Best->SourceAvailable &&
-                           Peer->Routes.Version > Best->Routes.Version);
-    if (IsBetter) {
+    if (!Best || isBetter(*Peer, *Best)) {
       Best = std::move(*Peer);
     }
   }
@@ -121,7 +130,7 @@
     return false;
   }
   return To.update([&Best](DirectoryBuilder &Builder) {
-    if (Builder.isComplete() && !Best->SourceAvailable) {
+    if (Builder.isComplete() && !Best->Source.IsAvailable) {
       return false;
     }
     const bool IsNew = !Builder.isComplete();
@@ -133,7 +142,7 @@
     if (IsNew) {
       log(LogLevel::Info, "directory loaded from another balancer",
           {{"version", static_cast<std::int64_t>(Builder.version())},
-           {"source_available", Best->SourceAvailable}});
+           {"source_available", Best->Source.IsAvailable}});
     }
     return true;
   });
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -157,10 +157,21 @@
   this->Cached = nullptr;
 }
 
+void DirectoryBuilder::onRevision(std::uint64_t Applied) {
+  this->AppliedRevision = std::max(this->AppliedRevision, Applied);
+}
+
 void DirectoryBuilder::onPeerListing(std::vector<ListedUpstream> All) {
   this->HasListing = true;
   for (ListedUpstream &Each : All) {
-    this->onUpstream(std::move(Each));
+    const auto Known = this->Entries.find(Each.Name);
+    // An upstream that is not known at the applied revision has left before it.
+    const bool IsOlder = Each.Revision <= this->AppliedRevision ||
+                         (Known != this->Entries.end() &&
+                          Each.Revision < Known->second.Listed.Revision);
+    if (!IsOlder) {
+      this->onUpstream(std::move(Each));
+    }
   }
   this->Cached = nullptr;
 }
--- a/src/http-session.cc
+++ b/src/http-session.cc
@@ -9,6 +9,8 @@
 #include <netinet/tcp.h>
 #include <optional>
 
+#include "mulberryhoist/log.h"
+
 namespace mulberryhoist {
 namespace {
 
@@ -104,6 +106,14 @@
 
   beast::error_code exchange(const HttpQuery &Query, Parser &Answer,
                              const std::stop_token &Stop);
+
+  /// Returns whether the server sent bytes that no request is waiting for, such
+  /// as a second copy of an answer.
+  bool hasUnexpectedBytes() {
+    beast::error_code Ignored;
+    return this->Buffer.size() > 0 ||
+           this->Stream->socket().available(Ignored) > 0;
+  }
 };
 
 beast::error_code HttpSession::State::exchange(const HttpQuery &Query,
@@ -151,6 +161,12 @@
 Result<HttpAnswer> HttpSession::get(const HttpQuery &Query,
                                     const std::stop_token &Stop) {
   State &Own = *this->Impl;
+  if (Own.Stream && Own.hasUnexpectedBytes()) {
+    logError({ErrorKind::MalformedMessage,
+              fmt::format("{}: bytes without a request; connection replaced",
+                          Own.Name)});
+    Own.Stream.reset();
+  }
   const bool Reused = Own.Stream.has_value();
   if (!Reused) {
     if (const auto Code = Own.connect(Stop)) {
@@ -184,6 +200,8 @@
   return Reply;
 }
 
+void HttpSession::disconnect() { this->Impl->Stream.reset(); }
+
 const HttpCounters &HttpSession::counters() const {
   return this->Impl->Counters;
 }
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -161,9 +161,81 @@
   EXPECT_FALSE(Shared.awaitConfirmationRequest(Stop.get_token()));
 }
 
+ListedUpstream atRevision(ListedUpstream Each, std::uint64_t Revision) {
+  Each.Revision = Revision;
+  return Each;
+}
+
+struct PeerEntryRow {
+  std::string Name;
+  /// The entry in the other balancer's list, while this one applied all changes
+  /// up to revision 10.
+  ListedUpstream Entry;
+  UpstreamState Expected;
+};
+
+class PeerEntryTest : public DirectoryBuilderTest,
+                      public testing::WithParamInterface<PeerEntryRow> {};
+
+// Guards against an upstream that has left, or drains, and is used again
+// because the list of another balancer is older.
+TEST_P(PeerEntryTest, OnlyNewerEntriesAreApplied) {
+  this->Builder.onListing({atRevision(upstream(1), 4),
+                           atRevision(upstream(2, UpstreamState::Draining), 8),
+                           atRevision(upstream(3), 5)},
+                          this->Now);
+  this->Builder.onRemoved("i-3", this->Now);
+  this->Builder.onRevision(10);
+  this->Builder.onSourceLost();
+  this->Builder.onPeerListing({GetParam().Entry});
+  for (const ListedUpstream &Each :
+       this->Builder.current()->upstreams(OrderService)) {
+    if (Each.Name == GetParam().Entry.Name) {
+      EXPECT_EQ(Each.State, GetParam().Expected);
+      return;
+    }
+  }
+  EXPECT_EQ(GetParam().Expected, UpstreamState::Gone);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, PeerEntryTest,
+    testing::Values(PeerEntryRow{"olderThanDrain", atRevision(upstream(2), 7),
+                                 UpstreamState::Draining},
+                    PeerEntryRow{"olderThanRemoval", atRevision(upstream(3), 5),
+                                 UpstreamState::Gone},
+                    PeerEntryRow{"leftLongAgo", atRevision(upstream(4), 9),
+                                 UpstreamState::Gone},
+                    PeerEntryRow{"newUpstream", atRevision(upstream(4), 11),
+                                 UpstreamState::Ready},
+                    PeerEntryRow{
+                        "newDrain",
+                        atRevision(upstream(1, UpstreamState::Draining), 12),
+                        UpstreamState::Draining}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a balancer without source that takes the older of two lists.
+TEST_F(DirectoryBuilderTest, OlderOfTwoPeerListingsChangesNothing) {
+  this->Builder.onPeerListing(
+      {atRevision(upstream(1, UpstreamState::Draining), 12)});
+  this->Builder.onPeerListing({atRevision(upstream(1), 11)});
+  EXPECT_EQ(this->stateOf(1), UpstreamState::Draining);
+}
+
+TEST(DirectoryExchangeTest, NewerDirectoryIsBetter) {
+  const auto Peer = [](bool IsAvailable, std::uint64_t Version,
+                       std::uint64_t Revision) {
+    return PeerDirectory{routes(Version), {}, {IsAvailable, Revision}};
+  };
+  EXPECT_TRUE(isBetter(Peer(true, 1, 1), Peer(false, 9, 9)));
+  EXPECT_TRUE(isBetter(Peer(false, 9, 1), Peer(false, 8, 9)));
+  EXPECT_TRUE(isBetter(Peer(false, 9, 2), Peer(false, 9, 1)));
+  EXPECT_FALSE(isBetter(Peer(false, 9, 1), Peer(false, 9, 1)));
+}
+
 TEST_F(DirectoryBuilderTest, ListingOfAnotherBalancerRemovesNoUpstream) {
   this->Builder.onListing({upstream(1)}, this->Now);
-  this->Builder.onPeerListing({upstream(2)});
+  this->Builder.onPeerListing({atRevision(upstream(2), 1)});
   EXPECT_EQ(this->stateOf(1), UpstreamState::Ready);
   EXPECT_EQ(this->stateOf(2), UpstreamState::Ready);
 }
@@ -173,10 +245,12 @@
                                      upstream(2, UpstreamState::Draining),
                                      upstream(3, UpstreamState::Gone)};
   All[0].StartedAt = milliseconds(1'800'000'000'000);
+  All[0].Revision = 16;
   const Directory From(routes(9), All);
-  const auto Parsed = readDirectory(writeDirectory(From, true));
+  const auto Parsed = readDirectory(writeDirectory(From, {true, 17}));
   ASSERT_TRUE(Parsed.has_value());
-  EXPECT_TRUE(Parsed->SourceAvailable);
+  EXPECT_TRUE(Parsed->Source.IsAvailable);
+  EXPECT_EQ(Parsed->Source.Revision, 17U);
   EXPECT_EQ(Parsed->Routes.Version, 9U);
   EXPECT_EQ(Parsed->Routes.Routes, routes(9).Routes);
   // Upstreams that are gone are not serialized.
--- a/test/soak/store.cc
+++ b/test/soak/store.cc
@@ -119,11 +119,22 @@
     Response.body() = std::move(Given.Body);
     Response.prepare_payload();
     http::write(Socket, Response, Code);
+    if (this->Mode == StoreMode::Repeating) {
+      http::write(Socket, Response, Code);
+    }
   }
   const std::scoped_lock Guard(this->Lock);
   Socket.close(Code);
 }
 
+std::string Store::encodeValue(const std::string &Bytes) const {
+  std::string Text = encodeBase64(Bytes);
+  if (this->Mode == StoreMode::Unpadded) {
+    Text.resize(Text.find_last_not_of('=') + 1);
+  }
+  return Text;
+}
+
 Store::Answer Store::answer(const std::string &Target) {
   switch (this->Mode.load()) {
   case StoreMode::Busy:
@@ -159,7 +170,7 @@
         break;
       }
       List.push_back({{"key", Key},
-                      {"value", encodeBase64(Each.Value)},
+                      {"value", this->encodeValue(Each.Value)},
                       {"revision", Each.Revision},
                       {"create_rev", Each.Created},
                       {"lease", 0}});
@@ -191,7 +202,7 @@
     if (Each.Removed) {
       Event["deleted"] = true;
     } else {
-      Event["value"] = encodeBase64(Each.Value);
+      Event["value"] = this->encodeValue(Each.Value);
       Event["create_rev"] = Each.Created;
     }
     Events.push_back(std::move(Event));
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -28,6 +28,8 @@
   Resetting, ///< Connections are reset.
   Silent,    ///< Calls get no answer, also later.
   Slow,      ///< Answers take 200 ms.
+  Repeating, ///< Each answer is sent twice.
+  Unpadded,  ///< Values lack the padding of their Base64 text.
 };
 
 /// Serves items and watches over HTTP on a loopback address.
@@ -60,6 +62,7 @@
 
   void accept();
   void serve(boost::asio::ip::tcp::socket &Socket);
+  std::string encodeValue(const std::string &Bytes) const;
   Answer answer(const std::string &Target);
   Answer list(const std::string &Prefix, const std::string &After);
   Answer watch(const std::string &Prefix, std::uint64_t After,
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -76,6 +76,37 @@
   EXPECT_EQ(Changes.error().Kind, ErrorKind::HistoryLost);
 }
 
+// Guards against a write beyond the buffer of a value whose Base64 text has no
+// padding.
+TEST_F(StoreClientTest, ValueWithoutPaddingIsComplete) {
+  this->Server.setMode(StoreMode::Unpadded);
+  for (const std::size_t Size : {30U, 31U, 32U, 33U}) {
+    const std::string Value(Size, 'x');
+    this->Server.put("a", Value);
+    const auto All = this->list();
+    ASSERT_TRUE(All.has_value()) << All.error().Detail;
+    EXPECT_EQ(All->Items[0].Value, Value);
+  }
+}
+
+// Guards against the copy of an answer, on a connection in use again, that is
+// taken for the answer to the next call.
+TEST_F(StoreClientTest, RepeatedAnswersAreNotUsed) {
+  this->Server.setMode(StoreMode::Repeating);
+  std::uint64_t Revision = 0;
+  for (int I = 0; I < 10; ++I) {
+    this->Server.put("a", std::to_string(I));
+    const bool IsWatch = I % 3 == 2;
+    const auto Read = IsWatch ? this->watch(Revision) : this->list();
+    ASSERT_TRUE(Read.has_value()) << Read.error().Detail;
+    ASSERT_EQ(Read->Items.size(), 1U);
+    EXPECT_EQ(Read->Items[0].Value, std::to_string(I));
+    Revision = Read->Revision;
+    // Gives the copy time to arrive.
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
 struct FaultRow {
   StoreMode Mode;
   ErrorKind Expected;
