Search for owners part by part, around silent agents

A search was one chain of agents in a fixed order, so that an agent that does not answer hid the ones behind it from each attempt; only openings led to checks. The same chain kept callers of lost flows waiting from the fourth second after the loss of power on: it ended at upstreams that had been released and never answered. And it listed 56 upstreams at most.

Change: a packet visits eight agents at a time; the last one sends it back, and the balancer goes on with the next eight, over any number of upstreams. A part without answer for 60 ms makes the balancer check those of its agents that have been silent, so that a silent one is visited last when the caller sends again. A packet that its known owner returned is searched for at once. For a reset, an upstream need not answer if the store has removed it and its agent has been silent for 10 s, or if it did not come back with all others after a loss of power.

Tests: SilentAgentDoesNotBlockSearches (the like of it fails on the code before: the second attempt had the same order), VisitsEachUpstreamOnce for 1 to 1,000 upstreams, LostUpstreamTest, PacketThatItsOwnerReturnedIsSearchedFor. OnlyAWholeSearchIsNumbered is replaced by VisitsEachUpstreamOnce, as there is no list that is cut any more; OwnerThatReturnsAPacketIsForgotten by the test that expects the search as well.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -84,6 +84,8 @@
   std::uint64_t Revision = 0;
   /// When the upstream started, in Unix time by its own clock; 0 if unknown.
   std::chrono::milliseconds StartedAt{0};
+  /// When the upstream was found to be gone; set in snapshots only.
+  std::optional<Instant> GoneSince;
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
@@ -120,6 +122,11 @@
     return this->Agents.contains(Address);
   }
 
+  /// Returns whether an upstream in any state has its agent at `Address`.
+  bool knowsAgent(std::uint32_t Address) const {
+    return this->AllAgents.contains(Address);
+  }
+
   /// Calls `Visit` for every upstream in any state.
   template <std::invocable<const ListedUpstream &> Visitor>
   void forEachUpstream(const Visitor &Visit) const {
@@ -139,6 +146,7 @@
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
   std::unordered_set<std::uint32_t> Agents;
+  std::unordered_set<std::uint32_t> AllAgents;
 };
 
 /// How long upstreams that are missing after an outage of the source stay
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -91,9 +91,7 @@
   Candidate LeastLoaded{0, 0};
   std::uint32_t LeastLoad = 0;
   std::uint32_t Hops = 0;
-  /// Set if the receiver and `Next` are all upstreams that can hold the flow:
-  /// the value of `Directory::additions` that the list was made from, which is
-  /// never 0 then.
+  /// The balancer's number of the search that the message is part of, or 0.
   std::uint32_t Search = 0;
 };
 
@@ -114,13 +112,10 @@
 };
 
 /// Notifies a balancer that each upstream to which a packet was sent has
-/// returned it.
+/// returned it, and carries the packet.
 struct NotHeld {
-  FlowKey Flow;
   /// `Steer::Search` of the packet's message.
   std::uint32_t Search = 0;
-  /// The acknowledgment number of the packet.
-  std::uint32_t Acknowledgment = 0;
 };
 
 /// Checks whether an agent is alive.
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -120,7 +120,7 @@
         this->Output.report(Decoded.error(), Now);
         return;
       }
-      this->handleMessage(Logic, Received.From, Decoded->Body, Out, Now);
+      this->handleMessage(Logic, Received.From, *Decoded, Out, Now);
       this->Output.perform(Out, Now);
     });
   }
@@ -137,14 +137,20 @@
   }
 
   void handleMessage(SteeringLogic &Logic, Endpoint From,
-                     const SteerMessage &Body, SteerActionList &Out,
+                     const SteerDatagram &Input, SteerActionList &Out,
                      Instant Now) {
+    const SteerMessage &Body = Input.Body;
     if (const auto *Notice = std::get_if<Taken>(&Body)) {
       Logic.onTaken(From, *Notice, Now, Out);
     } else if (const auto *Refusal = std::get_if<Refused>(&Body)) {
       Logic.onRefused(From, *Refusal, Now, Out);
     } else if (const auto *Returned = std::get_if<NotHeld>(&Body)) {
-      Logic.onNotHeld(From, *Returned, Now, Out);
+      const auto Packet = Format::parse(Input.Packet);
+      if (!Packet) {
+        this->Output.report(Packet.error(), Now);
+        return;
+      }
+      Logic.onNotHeld(From, *Returned, *Packet, Now, Out);
     } else if (const auto *Reply = std::get_if<CheckReply>(&Body)) {
       Logic.onCheckReply(From, *Reply, Now, Out);
     } else {
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -44,6 +45,9 @@
 /// How often an avoided agent is checked.
 inline constexpr Duration AvoidedCheckPeriod = std::chrono::milliseconds(150);
 
+/// How often an avoided agent is checked whose upstream is gone.
+inline constexpr Duration GoneCheckPeriod = std::chrono::seconds(1);
+
 /// The minimum time that a flow's owner stays cached unless `MaxOwners` is
 /// reached; longer than the idle time after which flows may be discarded.
 inline constexpr Duration OwnerRetention = std::chrono::seconds(30);
@@ -56,14 +60,35 @@
 /// is sent without resends.
 inline constexpr std::size_t MaxUnansweredOpenings = 16'384;
 
+/// How many agents a packet of an unknown flow visits before the balancer gets
+/// it back; bounds how many of them are out of reach behind a silent one.
+inline constexpr std::size_t MaxSearchPart = 8;
+
+/// How long a part of a search may take before those of its agents that have
+/// been silent are checked: a few milliseconds for each hop, and short enough
+/// that silent agents are suspected when the caller retransmits after 200 ms.
+inline constexpr Duration SearchCheckDelay = std::chrono::milliseconds(60);
+
+/// How long an agent must have sent nothing before a search checks it.
+inline constexpr Duration SearchSilence = std::chrono::milliseconds(100);
+
+/// How often the searches in progress are checked.
+inline constexpr Duration SearchSweepPeriod = std::chrono::milliseconds(20);
+
 /// How long the answer to a search is awaited before it is reported as
 /// unanswered; longer than a request of the slowest class takes.
 inline constexpr Duration SearchTimeout = std::chrono::seconds(1);
 
 /// The most searches whose answers are awaited, and the most flows without
-/// holder that wait for a confirmation.
+/// holder that wait for a confirmation; bounds memory, at some hundred bytes
+/// each.
 inline constexpr std::size_t MaxSearches = 4'096;
 
+/// How long an upstream must have been gone, with its agent silent, before its
+/// flows count as lost: longer than any request that may run there, so that no
+/// work of a VM that was suspended or cut off is given up.
+inline constexpr Duration GoneForGood = std::chrono::seconds(10);
+
 /// How long a flow without holder waits for the source to confirm the list of
 /// upstreams; later, its caller has sent the packet again.
 inline constexpr Duration ConfirmationTimeout = std::chrono::seconds(1);
@@ -114,10 +139,10 @@
   void onRefused(Endpoint From, const Refused &Body, Instant Now,
                  SteerActionList &Out);
 
-  /// Handles an agent's notice that all upstreams to which a packet was sent
-  /// have returned it.
-  void onNotHeld(Endpoint From, const NotHeld &Body, Instant Now,
-                 SteerActionList &Out);
+  /// Handles a packet that all upstreams to which it was sent have returned:
+  /// sends it to further ones, if there are any.
+  void onNotHeld(Endpoint From, const NotHeld &Body, const RoutedPacket &Packet,
+                 Instant Now, SteerActionList &Out);
 
   /// Returns whether flows without holder wait for a confirmation.
   bool awaitsConfirmation() const { return !this->FlowsNotHeld.empty(); }
@@ -191,15 +216,23 @@
     Avoidance Avoided = Avoidance::None;
   };
 
-  /// A packet that was sent to all upstreams.
+  /// A packet that visits all upstreams which may hold its flow, part by part.
   struct Search {
     FlowKey Flow;
+    /// `Completeness::Additions` of the directory that the list is made from.
+    std::uint32_t Additions = 0;
+    Instant BeganAt;
+    /// When the present part was sent.
     Instant SentAt;
+    bool IsChecked = false;
+    /// The agents of the present part and of later ones, in order.
+    std::vector<Candidate> Remaining;
+    std::size_t PartSize = 0;
   };
 
   /// A flow whose packet all upstreams have returned.
   struct FlowNotHeld {
-    std::uint32_t Search = 0;
+    std::uint32_t Additions = 0;
     std::uint32_t Acknowledgment = 0;
     Instant ReportedAt;
   };
@@ -213,10 +246,27 @@
                    SteerActionList &Out);
   void forgetOwner(const FlowKey &Key, std::uint32_t Agent,
                    SteerActionList &Out);
+  /// Sends the next part of a search.
+  void sendPart(std::uint32_t Number, Search &Each, const Route &Matched,
+                PacketBytes Bytes, Instant Now, SteerActionList &Out);
   /// Returns whether no living upstream of the route can be missing from the
   /// directory, provided that the source confirms it.
   bool isListingComplete(const Route &Matched, Instant Now) const;
-  void expireSearches(Instant Now, SteerActionList &Out);
+  /// Returns whether all upstreams of the route that are not gone have started
+  /// together with the balancer, as after a loss of power.
+  bool isJointRestart(const Route &Matched) const;
+  /// Returns whether an upstream cannot hold flows any more, although it has
+  /// not returned their packets.
+  bool isLost(const ListedUpstream &Each, bool IsJointRestart,
+              Instant Now) const;
+  void onSearchExhausted(const FlowKey &Flow, std::uint32_t Additions,
+                         std::uint32_t Acknowledgment, std::uint32_t Agent,
+                         Instant Now, SteerActionList &Out);
+  void checkSilentAgents(Search &Each, Instant Now, SteerActionList &Out);
+  void processSearches(Instant Now, SteerActionList &Out);
+  bool startedWithBalancer(const ListedUpstream &Each) const {
+    return Each.StartedAt + JointRestartSpan >= this->Settings.StartedAtUnix;
+  }
   void sendTo(std::uint32_t Agent, const Steer &Header, PacketBytes Bytes,
               SteerActionList &Out) const;
   FlowOwners *findOwners(const FlowKey &Key);
@@ -242,9 +292,10 @@
   std::unordered_map<FlowKey, UnansweredOpening> UnansweredOpenings;
   /// Ordered by time, since all delays are equal.
   std::deque<ResendDeadline> ResendQueue;
-  /// Searches without an answer, by flow, and the same in order of time.
-  std::unordered_map<FlowKey, Instant> Searches;
-  std::deque<Search> SearchQueue;
+  /// Searches without an answer by their numbers, oldest first.
+  std::map<std::uint32_t, Search> Searches;
+  std::uint32_t NextSearch = 1;
+  Instant NextSearchSweep;
   std::unordered_map<FlowKey, FlowNotHeld> FlowsNotHeld;
   bool NeedsConfirmation = false;
   std::unordered_map<std::uint32_t, AgentHealth> Agents;
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -46,6 +46,7 @@
   }
   for (const ListedUpstream &Each : Upstreams) {
     this->ByService[Each.Service].push_back(Each);
+    this->AllAgents.insert(Each.Address);
     if (Each.State != UpstreamState::Gone) {
       this->Agents.insert(Each.Address);
     }
@@ -223,6 +224,9 @@
     All.reserve(this->Entries.size());
     for (const auto &[Name, Each] : this->Entries) {
       All.push_back(Each.Listed);
+      if (Each.ExpiresAt) {
+        All.back().GoneSince = *Each.ExpiresAt - GoneRetention;
+      }
       if (Each.Listed.Registered < Newest[Each.Listed.Address]) {
         All.back().State = UpstreamState::Gone;
       }
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -45,10 +45,7 @@
 }
 
 void write(const NotHeld &From, proto::SteerEnvelope &Envelope) {
-  proto::NotHeld &To = *Envelope.mutable_not_held();
-  detail::writeFlow({From.Flow, 0}, *To.mutable_flow());
-  To.set_search(From.Search);
-  To.set_acknowledgment(From.Acknowledgment);
+  Envelope.mutable_not_held()->set_search(From.Search);
 }
 
 void write(const Check &From, proto::SteerEnvelope &Envelope) {
@@ -110,15 +107,8 @@
   return Flow ? std::optional<SteerMessage>(Refused{*Flow}) : std::nullopt;
 }
 
-std::optional<SteerMessage> read(const proto::NotHeld &From) {
-  const auto Flow = detail::readFlow(From);
-  if (!Flow) {
-    return std::nullopt;
-  }
-  return NotHeld{Flow->Key, From.search(), From.acknowledgment()};
-}
-
-/// The schema of the steered path's envelopes; only `Steer` carries a packet.
+/// The schema of the steered path's envelopes; `Steer` and
+/// `NotHeld` carry a packet.
 struct Schema {
   using Typed = SteerMessage;
   using Envelope = proto::SteerEnvelope;
@@ -136,7 +126,7 @@
     case Envelope::kRefused:
       return read(From.refused());
     case Envelope::kNotHeld:
-      return read(From.not_held());
+      return NotHeld{From.not_held().search()};
     case Envelope::kCheck:
       return Check{From.check().sequence()};
     case Envelope::kCheckReply:
@@ -149,7 +139,8 @@
   }
 
   static bool hasPacket(const SteerMessage &Body) {
-    return std::holds_alternative<Steer>(Body);
+    return std::holds_alternative<Steer>(Body) ||
+           std::holds_alternative<NotHeld>(Body);
   }
 };
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -251,10 +251,9 @@
                                             : Decision::OwnerNotFound,
                                   Key, Header));
     if (!IsOpening) {
-      Out.emplace_back(
-          SendSteer{{Header.Balancer, this->Settings.PeerPort},
-                    NotHeld{Key, Header.Search, Packet.View.Acknowledgment},
-                    {}});
+      Out.emplace_back(SendSteer{{Header.Balancer, this->Settings.PeerPort},
+                                 NotHeld{Header.Search},
+                                 Packet.Bytes});
     }
     return;
   }
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -98,7 +98,7 @@
 void SteeringLogic::onDirectory(std::shared_ptr<const Directory> Next) {
   this->InForce = std::move(Next);
   std::erase_if(this->Agents, [this](const auto &Each) {
-    return !this->InForce->hasAgent(Each.first);
+    return !this->InForce->knowsAgent(Each.first);
   });
 }
 
@@ -226,18 +226,14 @@
     Out.emplace_back(record(Decision::PacketWithoutRoute, Key));
     return;
   }
-  Steer Header;
-  Header.Balancer = this->Settings.Address;
-  Header.Notify = true;
-  Header.Final = true;
+  const bool IsJointRestart = this->isJointRestart(*Matched);
   RankedCandidates Order;
   for (const RouteTarget &Each : Matched->Targets) {
-    if (!Header.Services.add(Each.Service)) {
-      break;
-    }
     appendCandidates(
         *this->InForce, Each.Service, Key,
-        [](const ListedUpstream & /*Each*/) { return true; },
+        [&](const ListedUpstream &Listed) {
+          return !this->isLost(Listed, IsJointRestart, Now);
+        },
         [this](const ListedUpstream &Listed) {
           return Listed.State == UpstreamState::Gone ||
                  this->avoidance(Listed.Address) == Avoidance::Suspected;
@@ -249,20 +245,45 @@
     return;
   }
   sortAndDeduplicate(Order);
-  setAlternatives(Order, MaxSteerCandidates, Header);
-  const bool IsWhole = Header.Next.size() + 1 == Order.size() &&
-                       Header.Services.size() == Matched->Targets.size();
-  if (IsWhole && !Packet.View.Flags.Rst) {
-    Header.Search = this->InForce->completeness().Additions;
+  Out.emplace_back(
+      record(Decision::OwnerSought, Key, Order.front().Target.Agent));
+  if (this->Searches.size() >= MaxSearches) {
+    this->Searches.erase(this->Searches.begin());
+  }
+  const std::uint32_t Number = this->NextSearch;
+  this->NextSearch = Number + 1 == 0 ? 1 : Number + 1;
+  Search &Begun = this->Searches[Number];
+  Begun.Flow = Key;
+  Begun.Additions = this->InForce->completeness().Additions;
+  Begun.BeganAt = Now;
+  Begun.Remaining.reserve(Order.size());
+  for (const RankedCandidate &Each : Order) {
+    Begun.Remaining.push_back(Each.Target);
+  }
+  this->sendPart(Number, Begun, *Matched, Packet.Bytes, Now, Out);
+}
+
+void SteeringLogic::sendPart(std::uint32_t Number, Search &Each,
+                             const Route &Matched, PacketBytes Bytes,
+                             Instant Now, SteerActionList &Out) {
+  Steer Header;
+  for (const RouteTarget &Target : Matched.Targets) {
+    if (!Header.Services.add(Target.Service)) {
+      break;
+    }
   }
-  const std::uint32_t First = Order.front().Target.Agent;
-  Out.emplace_back(record(Decision::OwnerSought, Key, First));
-  this->sendTo(First, Header, Packet.Bytes, Out);
-  // The owner answers data; other packets may stay without an answer.
-  if (!Packet.View.Payload.empty() && this->Searches.size() < MaxSearches &&
-      this->Searches.try_emplace(Key, Now).second) {
-    this->SearchQueue.push_back({Key, Now});
+  Header.Balancer = this->Settings.Address;
+  Header.Notify = true;
+  Header.Final = true;
+  Header.Search = Number;
+  Each.PartSize = std::min(Each.Remaining.size(), MaxSearchPart);
+  Each.SentAt = Now;
+  Each.IsChecked = false;
+  for (std::size_t I = 1; I < Each.PartSize; ++I) {
+    (void)Header.Next.add(Each.Remaining[I]);
   }
+  Header.Slots = Each.Remaining.front().Slots;
+  this->sendTo(Each.Remaining.front().Agent, Header, Bytes, Out);
 }
 
 void SteeringLogic::forgetOwner(const FlowKey &Key, std::uint32_t Agent,
@@ -275,22 +296,13 @@
   }
 }
 
-bool SteeringLogic::isListingComplete(const Route &Matched, Instant Now) const {
+bool SteeringLogic::isJointRestart(const Route &Matched) const {
   const auto &SettledAt = this->InForce->completeness().SettledAt;
-  if (!SettledAt) {
-    return false;
-  }
-  if (Now >= *SettledAt) {
-    return true;
-  }
-  // Before that, an upstream that lives may not have registered again after an
-  // outage of the source. If all others have just restarted together with the
-  // balancer, the VMs have lost power, and so has that one.
-  const bool IsRecentStart =
-      this->Settings.StartedAtUnix.count() != 0 &&
+  const bool IsFirstListing =
+      this->Settings.StartedAtUnix.count() != 0 && SettledAt &&
       *SettledAt - ReregistrationGrace - this->Settings.StartedAt <=
           JointRestartSpan;
-  if (!IsRecentStart) {
+  if (!IsFirstListing) {
     return false;
   }
   return std::ranges::all_of(Matched.Targets, [this](const RouteTarget &Each) {
@@ -298,34 +310,81 @@
     return !Listed.empty() &&
            std::ranges::all_of(Listed, [this](const ListedUpstream &Upstream) {
              return Upstream.State == UpstreamState::Gone ||
-                    Upstream.StartedAt + JointRestartSpan >=
-                        this->Settings.StartedAtUnix;
+                    this->startedWithBalancer(Upstream);
            });
   });
 }
 
-void SteeringLogic::onNotHeld(Endpoint From, const NotHeld &Body, Instant Now,
+bool SteeringLogic::isListingComplete(const Route &Matched, Instant Now) const {
+  const auto &SettledAt = this->InForce->completeness().SettledAt;
+  // Before the listing has settled, an upstream that lives may not have
+  // registered again after an outage of the source. If all others have just
+  // restarted together with the balancer, the VMs have lost power, and so has
+  // that one.
+  return SettledAt && (Now >= *SettledAt || this->isJointRestart(Matched));
+}
+
+bool SteeringLogic::isLost(const ListedUpstream &Each, bool IsJointRestart,
+                           Instant Now) const {
+  const auto &SettledAt = this->InForce->completeness().SettledAt;
+  if (!Each.GoneSince || !SettledAt ||
+      this->avoidance(Each.Address) != Avoidance::Suspected) {
+    return false;
+  }
+  const bool IsGoneForGood =
+      Now >= *SettledAt && Now - *Each.GoneSince >= GoneForGood;
+  return IsGoneForGood || (IsJointRestart && !this->startedWithBalancer(Each));
+}
+
+void SteeringLogic::onNotHeld(Endpoint From, const NotHeld &Body,
+                              const RoutedPacket &Packet, Instant Now,
                               SteerActionList &Out) {
-  this->Searches.erase(Body.Flow);
   if (this->InForce == nullptr) {
     return;
   }
+  const FlowKey Key = Packet.View.callerFlow();
   if (Body.Search == 0) {
-    this->forgetOwner(Body.Flow, From.Address, Out);
+    // The cached owner returned the packet.
+    this->forgetOwner(Key, From.Address, Out);
+    this->locateOwner(Packet, Now, Out);
     return;
   }
-  const Route *Matched = this->InForce->findRoute(Body.Flow.Service);
-  const bool MayReset =
-      Matched != nullptr &&
-      Body.Search == this->InForce->completeness().Additions &&
-      this->FlowsNotHeld.size() < MaxSearches &&
-      this->isListingComplete(*Matched, Now);
+  const auto Found = this->Searches.find(Body.Search);
+  if (Found == this->Searches.end() || Found->second.Flow != Key) {
+    return;
+  }
+  Search &Each = Found->second;
+  Each.Remaining.erase(Each.Remaining.begin(),
+                       Each.Remaining.begin() +
+                           static_cast<std::ptrdiff_t>(Each.PartSize));
+  const Route *Matched = this->InForce->findRoute(Key.Service);
+  if (Matched != nullptr && !Each.Remaining.empty()) {
+    this->sendPart(Body.Search, Each, *Matched, Packet.Bytes, Now, Out);
+    return;
+  }
+  const std::uint32_t Additions = Each.Additions;
+  this->Searches.erase(Found);
+  if (Matched != nullptr && !Packet.View.Flags.Rst) {
+    this->onSearchExhausted(Key, Additions, Packet.View.Acknowledgment,
+                            From.Address, Now, Out);
+  }
+}
+
+void SteeringLogic::onSearchExhausted(const FlowKey &Flow,
+                                      std::uint32_t Additions,
+                                      std::uint32_t Acknowledgment,
+                                      std::uint32_t Agent, Instant Now,
+                                      SteerActionList &Out) {
+  const Route *Matched = this->InForce->findRoute(Flow.Service);
+  const bool MayReset = Additions == this->InForce->completeness().Additions &&
+                        this->FlowsNotHeld.size() < MaxSearches &&
+                        this->isListingComplete(*Matched, Now);
   Out.emplace_back(
       record(MayReset ? Decision::FlowNotHeld : Decision::FlowNotHeldIgnored,
-             Body.Flow, From.Address));
+             Flow, Agent));
   if (MayReset) {
     this->FlowsNotHeld.insert_or_assign(
-        Body.Flow, FlowNotHeld{Body.Search, Body.Acknowledgment, Now});
+        Flow, FlowNotHeld{Additions, Acknowledgment, Now});
     this->NeedsConfirmation = true;
   }
 }
@@ -338,7 +397,7 @@
       return false;
     }
     const bool MayReset =
-        Each.Search == Latest.Additions && this->findOwners(Flow) == nullptr;
+        Each.Additions == Latest.Additions && this->findOwners(Flow) == nullptr;
     Out.emplace_back(record(
         MayReset ? Decision::FlowReset : Decision::FlowNotHeldIgnored, Flow));
     if (MayReset) {
@@ -348,18 +407,40 @@
   });
 }
 
-void SteeringLogic::expireSearches(Instant Now, SteerActionList &Out) {
-  while (!this->SearchQueue.empty() &&
-         Now - this->SearchQueue.front().SentAt >= SearchTimeout) {
-    const Search Oldest = this->SearchQueue.front();
-    this->SearchQueue.pop_front();
-    const auto Found = this->Searches.find(Oldest.Flow);
-    if (Found != this->Searches.end() && Found->second == Oldest.SentAt) {
-      this->Searches.erase(Found);
-      RecordDecision Record = record(Decision::SearchUnanswered, Oldest.Flow);
-      Record.Age = Now - Oldest.SentAt;
+void SteeringLogic::checkSilentAgents(Search &Each, Instant Now,
+                                      SteerActionList &Out) {
+  Each.IsChecked = true;
+  for (const Candidate &Asked :
+       std::span(Each.Remaining).first(Each.PartSize)) {
+    if (Now - this->Agents[Asked.Agent].LastReceivedAt >= SearchSilence) {
+      this->sendCheck(Asked.Agent, Now, Out);
+    }
+  }
+}
+
+void SteeringLogic::processSearches(Instant Now, SteerActionList &Out) {
+  if (Now < this->NextSearchSweep) {
+    return;
+  }
+  this->NextSearchSweep = Now + SearchSweepPeriod;
+  for (auto Entry = this->Searches.begin(); Entry != this->Searches.end();) {
+    Search &Each = Entry->second;
+    if (this->findOwners(Each.Flow) != nullptr) {
+      Entry = this->Searches.erase(Entry);
+      continue;
+    }
+    if (Now - Each.BeganAt >= SearchTimeout) {
+      RecordDecision Record = record(Decision::SearchUnanswered, Each.Flow,
+                                     Each.Remaining.front().Agent);
+      Record.Age = Now - Each.BeganAt;
       Out.emplace_back(Record);
+      Entry = this->Searches.erase(Entry);
+      continue;
+    }
+    if (!Each.IsChecked && Now - Each.SentAt >= SearchCheckDelay) {
+      this->checkSilentAgents(Each, Now, Out);
     }
+    ++Entry;
   }
   std::erase_if(this->FlowsNotHeld, [&](const auto &Entry) {
     const bool IsExpired = Now - Entry.second.ReportedAt >= ConfirmationTimeout;
@@ -398,7 +479,6 @@
                             SteerActionList &Out) {
   this->onAgentResponse(From.Address, Body.Leaving, Now, Out);
   const FlowKey &Key = Body.Flow.Key;
-  this->Searches.erase(Key);
   RecordDecision Record = record(Decision::OwnerLearned, Key, From.Address);
   Record.Load = Body.Load;
   ServiceList Services;
@@ -595,7 +675,10 @@
     if (Health.Avoided == Avoidance::None || Health.IsCheckPending) {
       continue;
     }
-    const Instant NextAt = Health.CheckSentAt + AvoidedCheckPeriod;
+    const bool IsGone =
+        this->InForce != nullptr && !this->InForce->hasAgent(Agent);
+    const Instant NextAt =
+        Health.CheckSentAt + (IsGone ? GoneCheckPeriod : AvoidedCheckPeriod);
     if (Now >= NextAt) {
       this->sendCheck(Agent, Now, Out);
     } else {
@@ -626,7 +709,7 @@
   this->detectPause(Now, Out);
   this->resendOverdue(Now, Out);
   this->processChecks(Now, Out);
-  this->expireSearches(Now, Out);
+  this->processSearches(Now, Out);
 }
 
 std::optional<Instant> SteeringLogic::nextDue() const {
@@ -635,9 +718,9 @@
     const Instant At = this->ResendQueue.front().At;
     Next = Next ? std::min(*Next, At) : At;
   }
-  if (!this->SearchQueue.empty()) {
-    const Instant At = this->SearchQueue.front().SentAt + SearchTimeout;
-    Next = Next ? std::min(*Next, At) : At;
+  if (!this->Searches.empty()) {
+    Next =
+        Next ? std::min(*Next, this->NextSearchSweep) : this->NextSearchSweep;
   }
   return Next;
 }
--- a/test/steer-wire-test.cc
+++ b/test/steer-wire-test.cc
@@ -80,16 +80,14 @@
             (FlowIncarnation{flowOf(9), 77}));
 }
 
-TEST(SteerWireTest, NotHeldKeepsItsFields) {
+TEST(SteerWireTest, NotHeldKeepsItsSearchAndPacket) {
   SteerCodec Codec;
-  const auto Encoded = Codec.encode(NotHeld{flowOf(9), 77, 0xFFFFFFFEU});
+  const auto Encoded = Codec.encode(NotHeld{0xFFFFFFFEU}, anyBytes());
   const std::vector<std::uint8_t> Bytes(Encoded->begin(), Encoded->end());
   const auto Decoded = Codec.decode(Bytes);
   ASSERT_TRUE(Decoded.has_value());
-  const NotHeld &To = std::get<NotHeld>(Decoded->Body);
-  EXPECT_EQ(To.Flow, flowOf(9));
-  EXPECT_EQ(To.Search, 77U);
-  EXPECT_EQ(To.Acknowledgment, 0xFFFFFFFEU);
+  EXPECT_EQ(std::get<NotHeld>(Decoded->Body).Search, 0xFFFFFFFEU);
+  EXPECT_TRUE(std::ranges::equal(Decoded->Packet, anyBytes()));
 }
 
 // Guards against crashes by malformed datagrams from arbitrary senders.
--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -251,9 +251,8 @@
     const auto Notices = sent<NotHeld>(Out);
     ASSERT_EQ(Notices.size(), 1U);
     EXPECT_EQ(Notices[0].first, BalancerAddress);
-    EXPECT_EQ(Notices[0].second.Flow, flowOf(9));
     EXPECT_EQ(Notices[0].second.Search, Search);
-    EXPECT_EQ(Notices[0].second.Acknowledgment, 1U);
+    EXPECT_TRUE(std::ranges::equal(only<SendSteer>(Out)[0].Packet, anyBytes()));
   }
 }
 
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -55,25 +55,53 @@
     return All;
   }
 
-  /// Reports that all upstreams have returned a packet of the flow.
+  /// Returns the packet that `Sent` carries as not held by its receivers.
   SteerActionList notHeld(std::uint16_t Port, std::uint32_t Search) {
     SteerActionList Out;
-    this->Logic.onNotHeld({agentAddress(3), PeerPort},
-                          {flowOf(Port), Search, 501}, this->Now, Out);
+    this->Logic.onNotHeld({agentAddress(3), PeerPort}, {Search},
+                          callerPacket(Port, 501, true), this->Now, Out);
     return Out;
   }
 
+  /// Sends a packet of an unknown flow that all upstreams return, part by part;
+  /// returns the actions after the last part.
+  SteerActionList exhaustSearch(std::uint16_t Port) {
+    SteerActionList Out = this->packet(callerPacket(Port, 501, true));
+    for (auto Sent = sent<Steer>(Out); !Sent.empty(); Sent = sent<Steer>(Out)) {
+      Out = this->notHeld(Port, Sent[0].second.Search);
+    }
+    return Out;
+  }
+
+  /// Marks an agent as suspected: it leaves two checks unanswered.
+  void suspect(std::uint32_t Number) {
+    for (int I = 0; I < 20; ++I) {
+      (void)this->packet(
+          callerPacket(static_cast<std::uint16_t>(900 + I), 1, true));
+      for (const auto &[Agent, Request] :
+           sent<Check>(this->tick(milliseconds(20)))) {
+        if (Agent != agentAddress(Number)) {
+          SteerActionList Ignored;
+          this->Logic.onCheckReply({Agent, PeerPort}, {Request.Sequence, false},
+                                   this->Now, Ignored);
+        }
+      }
+    }
+    ASSERT_EQ(this->Logic.avoidance(agentAddress(Number)),
+              Avoidance::Suspected);
+  }
+
   SteerActionList confirmed(Instant ReadAt, std::uint32_t Additions) {
     SteerActionList Out;
     this->Logic.onConfirmation({ReadAt, Additions}, Out);
     return Out;
   }
 
-  static constexpr std::uint32_t SearchNumber = 3;
+  static constexpr std::uint32_t Additions = 3;
   static constexpr milliseconds UnixStart{1'800'000'000'000};
   Instant Now = Instant(std::chrono::hours(1));
   /// Settled long ago.
-  Completeness Listing{SearchNumber, Instant(std::chrono::minutes(1))};
+  Completeness Listing{Additions, Instant(std::chrono::minutes(1))};
   SteeringLogic Logic{{BalancerAddress, PeerPort, Now, UnixStart}};
 };
 
@@ -165,12 +193,10 @@
 // Guards against callers that wait for their deadlines although the upstream of
 // their flow has restarted.
 TEST_F(SteeringTest, FlowThatNoUpstreamHoldsIsResetOnceConfirmed) {
-  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
-  ASSERT_EQ(Sent[0].second.Search, SearchNumber);
-  EXPECT_TRUE(decided(this->notHeld(9, SearchNumber), Decision::FlowNotHeld));
+  EXPECT_TRUE(decided(this->exhaustSearch(9), Decision::FlowNotHeld));
   EXPECT_TRUE(this->Logic.takeConfirmationRequest());
   EXPECT_FALSE(this->Logic.takeConfirmationRequest());
-  const auto Out = this->confirmed(this->Now, SearchNumber);
+  const auto Out = this->confirmed(this->Now, Additions);
   ASSERT_EQ(only<ResetFlow>(Out).size(), 1U);
   EXPECT_EQ(only<ResetFlow>(Out)[0].Flow, flowOf(9));
   EXPECT_EQ(only<ResetFlow>(Out)[0].Sequence, 501U);
@@ -184,7 +210,8 @@
   Completeness Listing;
   /// When the upstreams started, relative to the balancer.
   milliseconds UpstreamsStarted{0};
-  std::uint32_t Search = 3;
+  /// Whether the directory gets an upstream between search and confirmation.
+  bool IsUpstreamAdded = false;
   /// When the confirming read began, relative to the notice.
   milliseconds ReadAt{0};
   std::uint32_t Additions = 3;
@@ -203,7 +230,13 @@
     Each.StartedAt = UnixStart + Row.UpstreamsStarted;
   }
   this->use(All);
-  (void)this->notHeld(9, Row.Search);
+  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  if (Row.IsUpstreamAdded) {
+    ++this->Listing.Additions;
+    All.push_back(upstream(4));
+    this->use(All);
+  }
+  (void)this->notHeld(9, Sent[0].second.Search);
   if (Row.IsOwnerLearned) {
     (void)this->taken(1, 9, 500);
   }
@@ -222,8 +255,10 @@
     Rows, SteeringSilenceTest,
     testing::Values(
         // An upstream registered after the search began.
-        SilenceRow{
-            .Name = "olderSearch", .Listing = {4, LongAgo}, .Additions = 4},
+        SilenceRow{.Name = "olderSearch",
+                   .Listing = {3, LongAgo},
+                   .IsUpstreamAdded = true,
+                   .Additions = 4},
         // The source lists an upstream that the directory does not have yet.
         SilenceRow{.Name = "additionWhileConfirming",
                    .Listing = {3, LongAgo},
@@ -260,55 +295,181 @@
   Old.Name = "i-9";
   All.push_back(Old);
   this->use(All);
-  (void)this->notHeld(9, SearchNumber);
-  EXPECT_EQ(only<ResetFlow>(this->confirmed(this->Now, SearchNumber)).size(),
-            1U);
+  (void)this->exhaustSearch(9);
+  EXPECT_EQ(only<ResetFlow>(this->confirmed(this->Now, Additions)).size(), 1U);
 }
 
-// Guards against a search that claims to cover upstreams which it does not
-// list, and against a reset in reply to a reset.
-TEST_F(SteeringTest, OnlyAWholeSearchIsNumbered) {
+class SteeringSearchTest : public SteeringTest,
+                           public testing::WithParamInterface<std::uint32_t> {};
+
+// Guards against a flow whose holder is beyond the list of one message: a
+// search visits each upstream once, whatever their number.
+TEST_P(SteeringSearchTest, VisitsEachUpstreamOnce) {
   std::vector<ListedUpstream> Many;
-  for (std::uint32_t I = 1; I <= MaxSteerCandidates + 1; ++I) {
-    Many.push_back(upstream(I));
+  for (std::uint32_t I = 1; I <= GetParam(); ++I) {
+    Many.push_back(
+        upstream(I, I % 10 == 0 ? UpstreamState::Gone : UpstreamState::Ready));
   }
   this->use(Many);
-  EXPECT_EQ(
-      sent<Steer>(this->packet(callerPacket(9, 1, true)))[0].second.Search, 0U);
-  Many.pop_back();
-  this->use(Many);
-  EXPECT_EQ(
-      sent<Steer>(this->packet(callerPacket(9, 1, true)))[0].second.Search,
-      SearchNumber);
-  RoutedPacket Reset = callerPacket(9, 1, false);
-  Reset.View.Flags.Rst = true;
-  EXPECT_EQ(sent<Steer>(this->packet(Reset))[0].second.Search, 0U);
+  std::multiset<std::uint32_t> Visited;
+  SteerActionList Out = this->packet(callerPacket(9, 501, true));
+  for (auto Sent = sent<Steer>(Out); !Sent.empty(); Sent = sent<Steer>(Out)) {
+    Visited.merge(visited(Sent[0]));
+    Out = this->notHeld(9, Sent[0].second.Search);
+  }
+  EXPECT_EQ(Visited.size(), GetParam());
+  EXPECT_EQ(std::set(Visited.begin(), Visited.end()).size(), GetParam());
+  EXPECT_TRUE(decided(Out, Decision::FlowNotHeld));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, SteeringSearchTest,
+                         testing::Values(1, 8, 9, 57, 136, 1000));
+
+// Guards against a flow that stalls although its upstream lives: an agent that
+// does not answer hid the ones behind it from each search (finding on trouble-1
+// of sulina-inscricoes-grown, journal 20261204T161012-1b1699fa).
+TEST_F(SteeringTest, SilentAgentDoesNotBlockSearches) {
+  std::vector<ListedUpstream> All;
+  for (std::uint32_t I = 1; I <= 20; ++I) {
+    All.push_back(upstream(I));
+  }
+  this->use(All);
+  constexpr std::uint32_t Silent = 7;
+  // The caller sends the packet and, after 200 ms, again.
+  std::multiset<std::uint32_t> Visited;
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    SteerActionList Out = this->packet(callerPacket(9, 501, true));
+    for (auto Sent = sent<Steer>(Out); !Sent.empty(); Sent = sent<Steer>(Out)) {
+      const auto Part = visited(Sent[0]);
+      Visited.insert(Part.begin(), Part.end());
+      Out.clear();
+      if (!Part.contains(agentAddress(Silent))) {
+        Out = this->notHeld(9, Sent[0].second.Search);
+      }
+    }
+    for (int I = 0; I < 10; ++I) {
+      for (const auto &[Agent, Request] :
+           sent<Check>(this->tick(milliseconds(20)))) {
+        if (Agent != agentAddress(Silent)) {
+          SteerActionList Ignored;
+          this->Logic.onCheckReply({Agent, PeerPort}, {Request.Sequence, false},
+                                   this->Now, Ignored);
+        }
+      }
+    }
+    if (Attempt == 0) {
+      EXPECT_EQ(this->Logic.avoidance(agentAddress(Silent)),
+                Avoidance::Suspected);
+      Visited.clear();
+    }
+  }
+  EXPECT_EQ(std::set(Visited.begin(), Visited.end()).size(), All.size());
 }
 
+struct LostUpstreamRow {
+  std::string Name;
+  /// How long ago the upstream was found to be gone; none if it is not gone.
+  std::optional<Duration> GoneFor;
+  bool IsSuspected = true;
+  /// When it started, relative to the balancer.
+  milliseconds Started{0};
+  /// When the list settled.
+  Instant SettledAt = Instant(std::chrono::minutes(1));
+  bool IsSkipped = false;
+};
+
+class LostUpstreamTest : public SteeringTest,
+                         public testing::WithParamInterface<LostUpstreamRow> {};
+
+// Guards against work that is given up because its VM was silent or slow to
+// report for a while, and against callers of lost flows that wait for a VM
+// which was removed.
+TEST_P(LostUpstreamTest, IsSkippedOnlyIfItCannotHoldFlows) {
+  const LostUpstreamRow &Row = GetParam();
+  this->Listing.SettledAt = Row.SettledAt;
+  ListedUpstream Living = upstream(1);
+  Living.StartedAt = UnixStart;
+  ListedUpstream Other = upstream(2);
+  Other.StartedAt = UnixStart + Row.Started;
+  this->use({Living, Other});
+  if (Row.IsSuspected) {
+    this->suspect(2);
+  }
+  if (Row.GoneFor) {
+    Other.State = UpstreamState::Gone;
+    Other.GoneSince = this->Now - *Row.GoneFor;
+  }
+  this->use({Living, Other});
+  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  EXPECT_EQ(visited(Sent[0]).contains(agentAddress(2)), !Row.IsSkipped);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, LostUpstreamTest,
+    testing::Values(
+        LostUpstreamRow{"listed", std::nullopt},
+        LostUpstreamRow{"suspendedForSeconds", GoneForGood - milliseconds(1)},
+        LostUpstreamRow{"answersChecks", std::chrono::minutes(1), false},
+        LostUpstreamRow{
+            .Name = "goneForGood", .GoneFor = GoneForGood, .IsSkipped = true},
+        LostUpstreamRow{.Name = "goneWhileSourceRecovers",
+                        .GoneFor = GoneForGood,
+                        .SettledAt = Instant(std::chrono::hours(2))},
+        // After a loss of power of all VMs.
+        LostUpstreamRow{.Name = "neverCameBack",
+                        .GoneFor = Duration::zero(),
+                        .Started = -std::chrono::minutes(5),
+                        .SettledAt = AtStart,
+                        .IsSkipped = true},
+        LostUpstreamRow{.Name = "restartedToo",
+                        .GoneFor = Duration::zero(),
+                        .Started = milliseconds(0),
+                        .SettledAt = AtStart}),
+    [](const auto &Info) { return Info.param.Name; });
+
 // Guards against a flow that stalls because its packets go to an owner that
-// does not hold it any more.
-TEST_F(SteeringTest, OwnerThatReturnsAPacketIsForgotten) {
+// does not hold it any more, and against a wait until the caller sends again.
+TEST_F(SteeringTest, PacketThatItsOwnerReturnedIsSearchedFor) {
   (void)this->packet(opening(9));
   (void)this->taken(3, 9, 500);
-  EXPECT_TRUE(decided(this->notHeld(9, 0), Decision::OwnerForgotten));
-  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  const auto Out = this->notHeld(9, 0);
+  EXPECT_TRUE(decided(Out, Decision::OwnerForgotten));
+  const auto Sent = sent<Steer>(Out);
+  ASSERT_EQ(Sent.size(), 1U);
   EXPECT_EQ(visited(Sent[0]).size(), 3U);
   EXPECT_FALSE(this->Logic.awaitsConfirmation());
 }
 
+// Guards against a notice for another search, and against a reset in reply to a
+// reset.
+TEST_F(SteeringTest, ForeignNoticesAndResetsEndNoFlow) {
+  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  const std::uint32_t Search = Sent[0].second.Search;
+  EXPECT_TRUE(this->notHeld(8, Search).empty());
+  EXPECT_TRUE(this->notHeld(9, Search + 1).empty());
+  RoutedPacket Reset = callerPacket(9, 501, false);
+  Reset.View.Flags.Rst = true;
+  SteerActionList Out;
+  this->Logic.onNotHeld({agentAddress(3), PeerPort}, {Search}, Reset, this->Now,
+                        Out);
+  EXPECT_TRUE(Out.empty());
+  EXPECT_FALSE(this->Logic.awaitsConfirmation());
+}
+
 // A search that ends without an owner differs in the log from one that some
 // upstream did not answer.
 TEST_F(SteeringTest, UnansweredSearchIsReported) {
-  (void)this->packet(callerPacket(9, 501, true));
+  (void)this->exhaustSearch(9);
   (void)this->packet(callerPacket(10, 501, true));
   (void)this->packet(callerPacket(11, 501, true));
-  (void)this->notHeld(9, SearchNumber);
   (void)this->taken(1, 10, 500);
-  const auto Out = this->tick(SearchTimeout);
   std::vector<FlowKey> Unanswered;
-  for (const RecordDecision &Each : only<RecordDecision>(Out)) {
-    if (Each.Kind == Decision::SearchUnanswered) {
-      Unanswered.push_back(Each.Flow);
+  for (Duration Passed{}; Passed < SearchTimeout; Passed += milliseconds(20)) {
+    for (const RecordDecision &Each :
+         only<RecordDecision>(this->tick(milliseconds(20)))) {
+      if (Each.Kind == Decision::SearchUnanswered) {
+        Unanswered.push_back(Each.Flow);
+      }
     }
   }
   EXPECT_EQ(Unanswered, std::vector{flowOf(11)});
