--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -225,6 +225,8 @@
     /// When the present part was sent.
     Instant SentAt;
     bool IsChecked = false;
+    /// Whether the owner of the flow answers the packet: it carries data.
+    bool ExpectsAnswer = false;
     /// The agents of the present part and of later ones, in order.
     std::vector<Candidate> Remaining;
     std::size_t PartSize = 0;
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -120,10 +120,15 @@
 }
 
 bool SteeringAgentLogic::mustForwardToNext(const Steer &Header, Instant Now) {
+  // Without another candidate the upstream may still answer: it lives on if
+  // only the agent is restarted.
+  if (Header.Next.empty()) {
+    return false;
+  }
   if (this->isLeaving()) {
     return true;
   }
-  if (!this->Silent || Header.Next.empty()) {
+  if (!this->Silent) {
     return false;
   }
   if (Now >= this->NextSilentProbe) {
@@ -203,7 +208,12 @@
 }
 
 void SteeringAgentLogic::serveHeldOpenings(Instant Now, SteerActionList &Out) {
-  while (const auto Expired = this->HeldOpenings.takeExpired(Now)) {
+  // Before the process exits, openings that it still holds are refused.
+  const bool IsStopping =
+      this->TerminateAt &&
+      Now - *this->TerminateAt >= SteeringAgentDrainDeadline - HeldMargin;
+  const Instant ExpiredAt = IsStopping ? Instant::max() : Now;
+  while (const auto Expired = this->HeldOpenings.takeExpired(ExpiredAt)) {
     this->refuse(Expired->Header, Expired->Flow, Now - Expired->HeldSince, Out);
   }
   while (auto Next = this->HeldOpenings.takeNext(
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -256,6 +256,7 @@
   Begun.Flow = Key;
   Begun.Additions = this->InForce->completeness().Additions;
   Begun.BeganAt = Now;
+  Begun.ExpectsAnswer = !Packet.View.Payload.empty();
   Begun.Remaining.reserve(Order.size());
   for (const RankedCandidate &Each : Order) {
     Begun.Remaining.push_back(Each.Target);
@@ -430,10 +431,12 @@
       continue;
     }
     if (Now - Each.BeganAt >= SearchTimeout) {
-      RecordDecision Record = record(Decision::SearchUnanswered, Each.Flow,
-                                     Each.Remaining.front().Agent);
-      Record.Age = Now - Each.BeganAt;
-      Out.emplace_back(Record);
+      if (Each.ExpectsAnswer) {
+        RecordDecision Record = record(Decision::SearchUnanswered, Each.Flow,
+                                       Each.Remaining.front().Agent);
+        Record.Age = Now - Each.BeganAt;
+        Out.emplace_back(Record);
+      }
       Entry = this->Searches.erase(Entry);
       continue;
     }
--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -435,6 +435,37 @@
   EXPECT_TRUE(this->Agent.isDrained(this->Now));
 }
 
+// Guards against an opening that is accepted, held and then cut off without an
+// answer by a planned stop.
+TEST_F(SteeringAgentTest, StoppingAgentRefusesWhatItStillHolds) {
+  this->fillSlots();
+  Steer Last = header();
+  Last.Final = true;
+  Last.Timeout = std::chrono::seconds(60);
+  (void)this->steer(Last, opening(9, milliseconds(600)));
+  SteerActionList Out;
+  this->Agent.onTerminate(this->Now, Out);
+  this->Now += SteeringAgentDrainDeadline - HeldMargin - milliseconds(1);
+  Out.clear();
+  this->Agent.onTick(this->Now, Out);
+  EXPECT_TRUE(only<RejectOpening>(Out).empty());
+  this->Now += milliseconds(1);
+  this->Agent.onTick(this->Now, Out);
+  ASSERT_EQ(only<RejectOpening>(Out).size(), 1U);
+  EXPECT_EQ(only<RejectOpening>(Out)[0].Flow, flowOf(9));
+}
+
+// Guards against callers that get no answer while the agent of a service's only
+// upstream is restarted.
+TEST_F(SteeringAgentTest, LeavingAgentServesOpeningsWithoutOtherCandidate) {
+  SteerActionList Out;
+  this->Agent.onTerminate(this->Now, Out);
+  EXPECT_EQ(only<ForwardToUpstream>(this->steer(header(), opening(9))).size(),
+            1U);
+  EXPECT_TRUE(
+      only<ForwardToUpstream>(this->steer(header({2}), opening(8))).empty());
+}
+
 TEST_F(SteeringAgentTest, StopHasADeadline) {
   this->beginRequest(1);
   SteerActionList Out;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -462,6 +462,8 @@
   (void)this->exhaustSearch(9);
   (void)this->packet(callerPacket(10, 501, true));
   (void)this->packet(callerPacket(11, 501, true));
+  // An acknowledgment without data needs no answer.
+  (void)this->packet(callerPacket(12, 501, false));
   (void)this->taken(1, 10, 500);
   std::vector<FlowKey> Unanswered;
   for (Duration Passed{}; Passed < SearchTimeout; Passed += milliseconds(20)) {
