--- a/test/malformed-input-test.cc
+++ b/test/malformed-input-test.cc
@@ -1,8 +1,9 @@
 /// Random and damaged bytes for everything that a process of the steered path
 /// reads from outside. Set MULBERRY_FUZZ_RUNS for a longer run.
 
-#include <cstdlib>
 #include <gtest/gtest.h>
+
+#include <cstdlib>
 #include <random>
 #include <string>
 #include <vector>
--- a/test/request-tracker-test.cc
+++ b/test/request-tracker-test.cc
@@ -1,10 +1,11 @@
 #include "mulberryhoist/request-tracker.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
 #include <numeric>
 #include <random>
-#include <rapidcheck/gtest.h>
 #include <string>
 #include <vector>
 
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -73,19 +73,24 @@
     return Out;
   }
 
+  /// Lets 20 ms pass; all agents but one reply to checks.
+  void tickWithout(std::uint32_t SilentNumber) {
+    for (const auto &[Agent, Request] :
+         sent<Check>(this->tick(milliseconds(20)))) {
+      if (Agent != agentAddress(SilentNumber)) {
+        SteerActionList Ignored;
+        this->Logic.onCheckReply({Agent, PeerPort}, {Request.Sequence, false},
+                                 this->Now, Ignored);
+      }
+    }
+  }
+
   /// Marks an agent as suspected: it leaves two checks unanswered.
   void suspect(std::uint32_t Number) {
     for (int I = 0; I < 20; ++I) {
       (void)this->packet(
           callerPacket(static_cast<std::uint16_t>(900 + I), 1, true));
-      for (const auto &[Agent, Request] :
-           sent<Check>(this->tick(milliseconds(20)))) {
-        if (Agent != agentAddress(Number)) {
-          SteerActionList Ignored;
-          this->Logic.onCheckReply({Agent, PeerPort}, {Request.Sequence, false},
-                                   this->Now, Ignored);
-        }
-      }
+      this->tickWithout(Number);
     }
     ASSERT_EQ(this->Logic.avoidance(agentAddress(Number)),
               Avoidance::Suspected);
@@ -348,14 +353,7 @@
       }
     }
     for (int I = 0; I < 10; ++I) {
-      for (const auto &[Agent, Request] :
-           sent<Check>(this->tick(milliseconds(20)))) {
-        if (Agent != agentAddress(Silent)) {
-          SteerActionList Ignored;
-          this->Logic.onCheckReply({Agent, PeerPort}, {Request.Sequence, false},
-                                   this->Now, Ignored);
-        }
-      }
+      this->tickWithout(Silent);
     }
     if (Attempt == 0) {
       EXPECT_EQ(this->Logic.avoidance(agentAddress(Silent)),
@@ -546,14 +544,7 @@
 TEST_F(SteeringTest, UnresponsiveAgentIsAvoidedUntilItReplies) {
   (void)this->packet(opening(9));
   for (int I = 0; I < 8; ++I) {
-    const auto Out = this->tick(milliseconds(20));
-    for (const auto &[Agent, Request] : sent<Check>(Out)) {
-      if (Agent != agentAddress(2)) {
-        SteerActionList Ignored;
-        this->Logic.onCheckReply({Agent, PeerPort}, {Request.Sequence, false},
-                                 this->Now, Ignored);
-      }
-    }
+    this->tickWithout(2);
   }
   EXPECT_EQ(this->Logic.avoidance(agentAddress(1)), Avoidance::None);
   EXPECT_EQ(this->Logic.avoidance(agentAddress(2)), Avoidance::Suspected);
