Confirm routes as well as upstreams before a flow is reset

Cause: found by reading. The read that confirms a directory listed only upstreams. A balancer whose routes were older than another's searched the old service's upstreams, and would have reset a flow that the new service holds. A route with more services than a message names would have counted agents of the others as asked.

Change: the store is asked for the changes after the revision that the directory has: newer routes, or an upstream that the directory does not have in its present incarnation, leave it unconfirmed. This costs the same call, and an empty answer instead of a list. Searches and confirmations are compared by the edition of the directory (version of the routes and count of additions).

Tests: routesChangedDuringTheSearch, newerRoutesConfirmed, FlowOfARouteWithTooManyServicesIsNotReset; store-feed-test runs the duty against the stand-in of the store, with a row for each change.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -91,10 +91,21 @@
                          const ListedUpstream &) = default;
 };
 
+/// Identifies the routes and upstreams of a directory. A search has covered all
+/// upstreams that may hold its flow if the edition has not changed since.
+struct DirectoryEdition {
+  /// The version of the routes.
+  std::uint64_t Version = 0;
+  /// How many upstreams and restarts of upstreams were listed so far.
+  std::uint32_t Additions = 0;
+
+  friend bool operator==(const DirectoryEdition &,
+                         const DirectoryEdition &) = default;
+};
+
 /// How far a list of upstreams can be trusted to be complete.
 struct Completeness {
-  /// How many upstreams and restarts of upstreams were listed so far. A search
-  /// has covered all upstreams if the number has not changed since.
+  /// `DirectoryEdition::Additions`.
   std::uint32_t Additions = 0;
   /// When the upstreams that were missing after an outage of the source have
   /// registered again; empty while the source is unavailable.
@@ -111,6 +122,10 @@
 
   const Completeness &completeness() const { return this->Listing; }
 
+  DirectoryEdition edition() const {
+    return {this->Version, this->Listing.Additions};
+  }
+
   /// Returns the route of an address, or null if there is none.
   const Route *findRoute(Endpoint Address) const;
 
@@ -231,13 +246,11 @@
   std::shared_ptr<const Directory> Cached;
 };
 
-/// A list that was read from the source, and that added nothing to the
-/// directory.
+/// A read of the source that found the directory to be up to date.
 struct Confirmation {
   /// When the read began.
   Instant ReadAt;
-  /// `Completeness::Additions` of the directory after the read.
-  std::uint32_t Additions = 0;
+  DirectoryEdition Edition;
 };
 
 /// What a balancer knows of the source of its directory.
@@ -277,7 +290,8 @@
     return this->Published.load();
   }
 
-  /// Requests that the list of upstreams is read again. Thread-safe.
+  /// Requests that the source is asked for changes that the directory does not
+  /// have yet. Thread-safe.
   void requestConfirmation() {
     const std::scoped_lock Guard(this->Lock);
     this->IsConfirmationRequested = true;
@@ -292,14 +306,15 @@
     });
   }
 
-  /// Compares a list, whose read began at `ReadAt`, with the directory, and
-  /// returns whether it confirms the directory. Thread-safe.
-  bool confirm(std::span<const ListedUpstream> Listed, Instant ReadAt) {
+  /// Compares the upstreams that have changed at the source with the directory,
+  /// and returns whether they confirm it; the read of the changes began at
+  /// `ReadAt` and covers those after `sourceStatus`. Thread-safe.
+  bool confirm(std::span<const ListedUpstream> Changed, Instant ReadAt) {
     const std::scoped_lock Guard(this->Lock);
-    if (!this->Builder.hasAll(Listed)) {
+    if (this->Builder.isSourceLost() || !this->Builder.hasAll(Changed)) {
       return false;
     }
-    this->LastConfirmation = {ReadAt, this->Builder.completeness().Additions};
+    this->LastConfirmation = {ReadAt, this->Builder.current()->edition()};
     return true;
   }
 
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -219,8 +219,8 @@
   /// A packet that visits all upstreams which may hold its flow, part by part.
   struct Search {
     FlowKey Flow;
-    /// `Completeness::Additions` of the directory that the list is made from.
-    std::uint32_t Additions = 0;
+    /// The directory from which the list is made.
+    DirectoryEdition Edition;
     Instant BeganAt;
     /// When the present part was sent.
     Instant SentAt;
@@ -234,7 +234,7 @@
 
   /// A flow whose packet all upstreams have returned.
   struct FlowNotHeld {
-    std::uint32_t Additions = 0;
+    DirectoryEdition Edition;
     std::uint32_t Acknowledgment = 0;
     Instant ReportedAt;
   };
@@ -261,9 +261,8 @@
   /// not returned their packets.
   bool isLost(const ListedUpstream &Each, bool IsJointRestart,
               Instant Now) const;
-  void onSearchExhausted(const FlowKey &Flow, std::uint32_t Additions,
-                         std::uint32_t Acknowledgment, std::uint32_t Agent,
-                         Instant Now, SteerActionList &Out);
+  void onSearchExhausted(const FlowKey &Flow, const FlowNotHeld &Result,
+                         std::uint32_t Agent, SteerActionList &Out);
   void checkSilentAgents(Search &Each, Instant Now, SteerActionList &Out);
   void processSearches(Instant Now, SteerActionList &Out);
   bool startedWithBalancer(const ListedUpstream &Each) const {
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -254,7 +254,7 @@
   this->NextSearch = Number + 1 == 0 ? 1 : Number + 1;
   Search &Begun = this->Searches[Number];
   Begun.Flow = Key;
-  Begun.Additions = this->InForce->completeness().Additions;
+  Begun.Edition = this->InForce->edition();
   Begun.BeganAt = Now;
   Begun.ExpectsAnswer = !Packet.View.Payload.empty();
   Begun.Remaining.reserve(Order.size());
@@ -363,29 +363,30 @@
     this->sendPart(Body.Search, Each, *Matched, Packet.Bytes, Now, Out);
     return;
   }
-  const std::uint32_t Additions = Each.Additions;
+  const FlowNotHeld Result = {Each.Edition, Packet.View.Acknowledgment, Now};
   this->Searches.erase(Found);
-  if (Matched != nullptr && !Packet.View.Flags.Rst) {
-    this->onSearchExhausted(Key, Additions, Packet.View.Acknowledgment,
-                            From.Address, Now, Out);
+  if (!Packet.View.Flags.Rst) {
+    this->onSearchExhausted(Key, Result, From.Address, Out);
   }
 }
 
 void SteeringLogic::onSearchExhausted(const FlowKey &Flow,
-                                      std::uint32_t Additions,
-                                      std::uint32_t Acknowledgment,
-                                      std::uint32_t Agent, Instant Now,
+                                      const FlowNotHeld &Result,
+                                      std::uint32_t Agent,
                                       SteerActionList &Out) {
   const Route *Matched = this->InForce->findRoute(Flow.Service);
-  const bool MayReset = Additions == this->InForce->completeness().Additions &&
+  // A message names at most `MaxSteerServices`; agents of other services pass a
+  // packet on without asking their upstreams.
+  const bool MayReset = Matched != nullptr &&
+                        Matched->Targets.size() <= MaxSteerServices &&
+                        Result.Edition == this->InForce->edition() &&
                         this->FlowsNotHeld.size() < MaxSearches &&
-                        this->isListingComplete(*Matched, Now);
+                        this->isListingComplete(*Matched, Result.ReportedAt);
   Out.emplace_back(
       record(MayReset ? Decision::FlowNotHeld : Decision::FlowNotHeldIgnored,
              Flow, Agent));
   if (MayReset) {
-    this->FlowsNotHeld.insert_or_assign(
-        Flow, FlowNotHeld{Additions, Acknowledgment, Now});
+    this->FlowsNotHeld.insert_or_assign(Flow, Result);
     this->NeedsConfirmation = true;
   }
 }
@@ -398,7 +399,7 @@
       return false;
     }
     const bool MayReset =
-        Each.Additions == Latest.Additions && this->findOwners(Flow) == nullptr;
+        Each.Edition == Latest.Edition && this->findOwners(Flow) == nullptr;
     Out.emplace_back(record(
         MayReset ? Decision::FlowReset : Decision::FlowNotHeldIgnored, Flow));
     if (MayReset) {
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -137,19 +137,22 @@
   EXPECT_FALSE(this->Builder.current()->completeness().SettledAt.has_value());
 }
 
-// Guards against a confirmation by a list that was read before the request, or
-// that has an upstream which the directory lacks.
+// Guards against a confirmation although the source has an upstream that the
+// directory lacks, or is unavailable.
 TEST(SharedDirectoryTest, ConfirmsOnlyWhatItHas) {
   SharedDirectory Shared;
   const Instant Now = Instant(std::chrono::hours(1));
   Shared.update([Now](DirectoryBuilder &Builder) {
+    (void)Builder.onRoutes(routes(7));
     Builder.onListing({upstream(1)}, Now);
   });
   EXPECT_FALSE(Shared.confirm(std::vector{upstream(2)}, Now));
   EXPECT_FALSE(Shared.confirmation().has_value());
   EXPECT_TRUE(Shared.confirm(std::vector{upstream(1)}, Now));
   EXPECT_EQ(Shared.confirmation()->ReadAt, Now);
-  EXPECT_EQ(Shared.confirmation()->Additions, 1U);
+  EXPECT_EQ(Shared.confirmation()->Edition, (DirectoryEdition{7, 1}));
+  Shared.update([](DirectoryBuilder &Builder) { Builder.onSourceLost(); });
+  EXPECT_FALSE(Shared.confirm({}, Now));
 }
 
 TEST(SharedDirectoryTest, RequestIsTakenOnce) {
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -96,13 +96,14 @@
               Avoidance::Suspected);
   }
 
-  SteerActionList confirmed(Instant ReadAt, std::uint32_t Additions) {
+  SteerActionList confirmed(Instant ReadAt, DirectoryEdition Edition) {
     SteerActionList Out;
-    this->Logic.onConfirmation({ReadAt, Additions}, Out);
+    this->Logic.onConfirmation({ReadAt, Edition}, Out);
     return Out;
   }
 
   static constexpr std::uint32_t Additions = 3;
+  static constexpr DirectoryEdition Edition = {1, Additions};
   static constexpr milliseconds UnixStart{1'800'000'000'000};
   Instant Now = Instant(std::chrono::hours(1));
   /// Settled long ago.
@@ -201,7 +202,7 @@
   EXPECT_TRUE(decided(this->exhaustSearch(9), Decision::FlowNotHeld));
   EXPECT_TRUE(this->Logic.takeConfirmationRequest());
   EXPECT_FALSE(this->Logic.takeConfirmationRequest());
-  const auto Out = this->confirmed(this->Now, Additions);
+  const auto Out = this->confirmed(this->Now, Edition);
   ASSERT_EQ(only<ResetFlow>(Out).size(), 1U);
   EXPECT_EQ(only<ResetFlow>(Out)[0].Flow, flowOf(9));
   EXPECT_EQ(only<ResetFlow>(Out)[0].Sequence, 501U);
@@ -219,7 +220,9 @@
   bool IsUpstreamAdded = false;
   /// When the confirming read began, relative to the notice.
   milliseconds ReadAt{0};
-  std::uint32_t Additions = 3;
+  DirectoryEdition Confirmed = {1, 3};
+  /// Whether the directory gets other routes between search and confirmation.
+  bool AreRoutesChanged = false;
   bool IsOwnerLearned = false;
 };
 
@@ -241,12 +244,15 @@
     All.push_back(upstream(4));
     this->use(All);
   }
+  if (Row.AreRoutesChanged) {
+    this->use(All, routes(2));
+  }
   (void)this->notHeld(9, Sent[0].second.Search);
   if (Row.IsOwnerLearned) {
     (void)this->taken(1, 9, 500);
   }
   EXPECT_TRUE(
-      only<ResetFlow>(this->confirmed(this->Now + Row.ReadAt, Row.Additions))
+      only<ResetFlow>(this->confirmed(this->Now + Row.ReadAt, Row.Confirmed))
           .empty());
   EXPECT_TRUE(only<ResetFlow>(this->tick(ConfirmationTimeout)).empty());
   EXPECT_FALSE(this->Logic.awaitsConfirmation());
@@ -263,11 +269,19 @@
         SilenceRow{.Name = "olderSearch",
                    .Listing = {3, LongAgo},
                    .IsUpstreamAdded = true,
-                   .Additions = 4},
+                   .Confirmed = {1, 4}},
         // The source lists an upstream that the directory does not have yet.
         SilenceRow{.Name = "additionWhileConfirming",
                    .Listing = {3, LongAgo},
-                   .Additions = 4},
+                   .Confirmed = {1, 4}},
+        // Another service may have got the flow by a newer configuration.
+        SilenceRow{.Name = "routesChangedDuringTheSearch",
+                   .Listing = {3, LongAgo},
+                   .Confirmed = {2, 3},
+                   .AreRoutesChanged = true},
+        SilenceRow{.Name = "newerRoutesConfirmed",
+                   .Listing = {3, LongAgo},
+                   .Confirmed = {2, 3}},
         // An upstream may have registered after the read.
         SilenceRow{.Name = "readBeforeTheNotice",
                    .Listing = {3, LongAgo},
@@ -290,6 +304,18 @@
                    .IsOwnerLearned = true}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against agents of a service that the message does not name, which pass
+// the packet on without asking their upstreams.
+TEST_F(SteeringTest, FlowOfARouteWithTooManyServicesIsNotReset) {
+  RouteSet Split = routes();
+  for (std::uint32_t I = 0; I < MaxSteerServices; ++I) {
+    Split.Routes[0].Targets.push_back({serviceId(std::to_string(I)), 1});
+  }
+  this->use({upstream(1)}, Split);
+  EXPECT_TRUE(decided(this->exhaustSearch(9), Decision::FlowNotHeldIgnored));
+  EXPECT_FALSE(this->Logic.awaitsConfirmation());
+}
+
 // After a loss of power, callers must not wait until the listing has settled.
 TEST_F(SteeringTest, FlowIsResetAtOnceIfAllVmsRestartedTogether) {
   this->Listing.SettledAt = AtStart;
@@ -301,7 +327,7 @@
   All.push_back(Old);
   this->use(All);
   (void)this->exhaustSearch(9);
-  EXPECT_EQ(only<ResetFlow>(this->confirmed(this->Now, Additions)).size(), 1U);
+  EXPECT_EQ(only<ResetFlow>(this->confirmed(this->Now, Edition)).size(), 1U);
 }
 
 class SteeringSearchTest : public SteeringTest,
--- /dev/null
+++ b/test/store-feed-test.cc
@@ -0,0 +1,109 @@
+#include "store-feed.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "soak/store.h"
+
+namespace mulberryhoist::platform {
+namespace {
+
+using soak::Store;
+using soak::StoreMode;
+using std::chrono::milliseconds;
+
+/// A port that no other test uses, since tests run in parallel.
+constexpr Endpoint Address = {0x7F000001, 18'771};
+
+constexpr std::string_view Entry =
+    R"({"backend":"orders","addr":"10.128.0.9:8080","zone":"z","version":"v1",
+        "slots":4,"state":"ready","cold_left_ms":0,"seq":4,"born":1})";
+
+std::string configuration(int Version) {
+  return R"({"version":)" + std::to_string(Version) + R"(,"routes":[]})";
+}
+
+/// What happens at the store after the directory was read from it.
+struct ConfirmationRow {
+  std::string Name;
+  void (*Change)(Store &);
+  bool IsConfirmed = false;
+};
+
+class StoreFeedTest : public testing::TestWithParam<ConfirmationRow> {
+protected:
+  static BootSettings settings() {
+    BootSettings Settings;
+    Settings.Store = Address;
+    return Settings;
+  }
+
+  /// Reads the whole store once, and stops before changes are watched.
+  void readOnce() {
+    std::jthread Reader([this](const std::stop_token &Stop) {
+      EXPECT_TRUE(this->Feed.run(Stop).has_value());
+    });
+    while (this->Directories.get() == nullptr) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+
+  /// Returns whether the directory was confirmed within a second.
+  bool awaitConfirmation() {
+    std::jthread Reader([this](const std::stop_token &Stop) {
+      EXPECT_TRUE(this->Feed.confirm(Stop).has_value());
+    });
+    this->Directories.requestConfirmation();
+    for (int I = 0; I < 100 && !this->Directories.confirmation(); ++I) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return this->Directories.confirmation().has_value();
+  }
+
+  Store Server{Address};
+  SharedDirectory Directories;
+  StoreFeed Feed{settings(), Directories};
+};
+
+// Guards against a reset of a flow whose upstream or route the directory does
+// not have yet.
+TEST_P(StoreFeedTest, ConfirmsOnlyADirectoryThatIsUpToDate) {
+  this->Server.put("op/config", configuration(7));
+  this->Server.put("servers/i-1", std::string(Entry));
+  this->readOnce();
+  GetParam().Change(this->Server);
+  EXPECT_EQ(this->awaitConfirmation(), GetParam().IsConfirmed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, StoreFeedTest,
+    testing::Values(
+        ConfirmationRow{"noChange", [](Store &) {}, true},
+        ConfirmationRow{"upstreamRegistered",
+                        [](Store &Server) {
+                          Server.put("servers/i-2", std::string(Entry));
+                        }},
+        ConfirmationRow{"upstreamRestarted",
+                        [](Store &Server) {
+                          Server.remove("servers/i-1");
+                          Server.put("servers/i-1", std::string(Entry));
+                        }},
+        ConfirmationRow{
+            "newerRoutes",
+            [](Store &Server) { Server.put("op/config", configuration(8)); }},
+        ConfirmationRow{"upstreamLeft",
+                        [](Store &Server) { Server.remove("servers/i-1"); },
+                        true},
+        ConfirmationRow{"historyLost",
+                        [](Store &Server) {
+                          Server.put("servers/i-2", std::string(Entry));
+                          Server.dropHistory();
+                        }},
+        ConfirmationRow{
+            "storeDown",
+            [](Store &Server) { Server.setMode(StoreMode::Busy); }}),
+    [](const auto &Info) { return Info.param.Name; });
+
+} // namespace
+} // namespace mulberryhoist::platform
