--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // A weight of a route's split becomes 0 while flows are open at that service;
 // then a balancer is restarted as planned.
-#include "kit.h"
+#include "kit.hpp"
 
 using namespace kit;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/*/case.cc; do
+for source in review/*/case.cpp; do
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -pthread -Ireview/standin -o "target/review/case-$number" "$source" &
 done
