--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 mkdir -p target/review
 for source in review/*/case.cpp; do
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -pthread -Ireview/standin -o "target/review/case-$number" "$source" &
+  g++ -std=c++20 -O1 -pthread -Ireview -o "target/review/case-$number" "$source" &
 done
 status=0
 for job in $(jobs -p); do wait "$job" || status=1; done
