Search for flows at services that a route has left

Callers saw a reset on an open flow of a living upstream: their route's weight for a service had become 0, or its backend had changed, and a balancer was restarted, so that the packets came to one that had no owner cached.

Cause: a search asked only the services to which the newest version sends new flows, and when all of those had returned the packet, the flow counted as gone. The confirmation compared versions and upstreams, which were unchanged. An agent of another service passes a packet on without asking its upstream. Ruled out: the weight of 0 that the adapter drops alone; the same happens when a route names another service.

Change: a route keeps the services that it sent flows to within the life of a flow (60 s) for as long as it is there, and a search asks their upstreams after those of the present targets. A balancer that may have missed a version (it has just started, or read a list or several versions at once) asks the upstreams of every service before it resets a flow. If all VMs started together with it, no flow is older than its routes, and the search stays short, so that resets after a loss of power come as soon as before. Removing a route still ends its flows.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -37,11 +37,21 @@
   friend bool operator==(const RouteTarget &, const RouteTarget &) = default;
 };
 
+/// A service that a route sent new flows to until a change of the routes.
+struct FormerTarget {
+  ServiceId Service;
+  Instant Until;
+
+  friend bool operator==(const FormerTarget &, const FormerTarget &) = default;
+};
+
 /// An address that callers connect to, and the services behind it.
 struct Route {
   Endpoint Address;
-  /// At least one, with a weight above 0.
+  /// Where new flows go: at least one service, with a weight above 0.
   std::vector<RouteTarget> Targets;
+  /// Further services whose upstreams may hold flows of the route.
+  std::vector<FormerTarget> Former;
   /// The latency objective.
   std::chrono::milliseconds Goal{0};
   /// How long callers wait for a response; 0 if unknown.
@@ -110,6 +120,9 @@
   /// When the upstreams that were missing after an outage of the source have
   /// registered again; empty while the source is unavailable.
   std::optional<Instant> SettledAt;
+  /// Since when every version of the routes has been applied; empty if that is
+  /// not known.
+  std::optional<Instant> RoutesKnownSince{};
 };
 
 /// An immutable snapshot of routes and upstreams.
@@ -142,6 +155,9 @@
     return this->AllAgents.contains(Address);
   }
 
+  /// Returns the services of all upstreams in any state.
+  std::span<const ServiceId> services() const { return this->Services; }
+
   /// Calls `Visit` for every upstream in any state.
   template <std::invocable<const ListedUpstream &> Visitor>
   void forEachUpstream(const Visitor &Visit) const {
@@ -160,6 +176,7 @@
   Completeness Listing;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
+  std::vector<ServiceId> Services;
   std::unordered_set<std::uint32_t> Agents;
   std::unordered_set<std::uint32_t> AllAgents;
 };
@@ -169,16 +186,19 @@
 /// may take another half second.
 inline constexpr Duration ReregistrationGrace = std::chrono::milliseconds(2500);
 
-/// How long an upstream that is gone is kept to locate its flows: the longest
-/// lifetime of a flow on the platform.
-inline constexpr Duration GoneRetention = std::chrono::seconds(60);
+/// The longest lifetime of a flow on the platform.
+inline constexpr Duration FlowLifetime = std::chrono::seconds(60);
+
+/// How long an upstream that is gone is kept to locate its flows.
+inline constexpr Duration GoneRetention = FlowLifetime;
 
 /// Builds directories from the updates of the source. Not thread-safe.
 class DirectoryBuilder {
 public:
   /// Applies a version of the routes, or reports `OlderTable` and keeps the
-  /// current routes if the version is older than theirs.
-  Result<void> onRoutes(RouteSet Next);
+  /// current routes if the version is older than theirs. `Skips` is true unless
+  /// the version is known to follow the current one.
+  Result<void> onRoutes(RouteSet Next, bool Skips, Instant Now);
 
   /// Adds an upstream or replaces its entry.
   void onUpstream(ListedUpstream Changed);
@@ -233,6 +253,9 @@
 
   void remove(Entry &Each, Instant Now);
   void markGone(Entry &Each, Instant Now);
+  /// Sets the former targets of the next version's routes, which replaces the
+  /// current one.
+  void keepFormerTargets(RouteSet &Next, Instant Now) const;
 
   RouteSet Routes;
   std::map<std::string, Entry, std::less<>> Entries;
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -227,6 +228,8 @@
     bool IsChecked = false;
     /// Whether the owner of the flow answers the packet: it carries data.
     bool ExpectsAnswer = false;
+    /// The services whose upstreams are asked.
+    std::vector<ServiceId> Services;
     /// The agents of the present part and of later ones, in order.
     std::vector<Candidate> Remaining;
     std::size_t PartSize = 0;
@@ -249,19 +252,26 @@
   void forgetOwner(const FlowKey &Key, std::uint32_t Agent,
                    SteerActionList &Out);
   /// Sends the next part of a search.
-  void sendPart(std::uint32_t Number, Search &Each, const Route &Matched,
-                PacketBytes Bytes, Instant Now, SteerActionList &Out);
-  /// Returns whether no living upstream of the route can be missing from the
+  void sendPart(std::uint32_t Number, Search &Each, PacketBytes Bytes,
+                Instant Now, SteerActionList &Out);
+  /// Returns all services whose upstreams may hold flows of a route, those of
+  /// the current routes first: a change of the routes leaves flows where they
+  /// are. Where versions of the routes may be unknown, that is every service.
+  std::vector<ServiceId> flowServices(const Route &Matched, Instant Now) const;
+  bool knowsAllRoutes(Instant Now) const;
+  /// Returns whether no living upstream of the services can be missing from the
   /// directory, provided that the source confirms it.
-  bool isListingComplete(const Route &Matched, Instant Now) const;
-  /// Returns whether all upstreams of the route that are not gone have started
-  /// together with the balancer, as after a loss of power.
-  bool isJointRestart(const Route &Matched) const;
+  bool isListingComplete(std::span<const ServiceId> Services,
+                         Instant Now) const;
+  /// Returns whether all upstreams of the services that are not gone have
+  /// started together with the balancer, as after a loss of power.
+  bool isJointRestart(std::span<const ServiceId> Services) const;
   /// Returns whether an upstream cannot hold flows any more, although it has
   /// not returned their packets.
   bool isLost(const ListedUpstream &Each, bool IsJointRestart,
               Instant Now) const;
   void onSearchExhausted(const FlowKey &Flow, const FlowNotHeld &Result,
+                         std::span<const ServiceId> Services,
                          std::uint32_t Agent, SteerActionList &Out);
   void checkSilentAgents(Search &Each, Instant Now, SteerActionList &Out);
   void processSearches(Instant Now, SteerActionList &Out);
@@ -287,6 +297,9 @@
 
   SteeringSettings Settings;
   std::shared_ptr<const Directory> InForce;
+  /// Whether all upstreams started together with the balancer, so that no flow
+  /// is older than it.
+  bool HasStartedWithFleet = false;
   OwnerMap RecentOwners;
   OwnerMap OlderOwners;
   Instant RotateAt;
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -134,7 +134,8 @@
       return false;
     }
     const bool IsNew = !Builder.isComplete();
-    const auto Accepted = Builder.onRoutes(std::move(Best->Routes));
+    const auto Accepted =
+        Builder.onRoutes(std::move(Best->Routes), true, now());
     if (!Accepted) {
       return false;
     }
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -45,7 +45,11 @@
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
   for (const ListedUpstream &Each : Upstreams) {
-    this->ByService[Each.Service].push_back(Each);
+    auto &List = this->ByService[Each.Service];
+    if (List.empty()) {
+      this->Services.push_back(Each.Service);
+    }
+    List.push_back(Each);
     this->AllAgents.insert(Each.Address);
     if (Each.State != UpstreamState::Gone) {
       this->Agents.insert(Each.Address);
@@ -67,7 +71,35 @@
   return Found->second;
 }
 
-Result<void> DirectoryBuilder::onRoutes(RouteSet Next) {
+void DirectoryBuilder::keepFormerTargets(RouteSet &Next, Instant Now) const {
+  std::unordered_map<Endpoint, const Route *> Current;
+  for (const Route &Each : this->Routes.Routes) {
+    Current.insert_or_assign(Each.Address, &Each);
+  }
+  for (Route &Each : Next.Routes) {
+    const auto Found = Current.find(Each.Address);
+    if (Found == Current.end()) {
+      continue;
+    }
+    const auto Keep = [&Each](ServiceId Service, Instant Until) {
+      if (std::ranges::find(Each.Targets, Service, &RouteTarget::Service) ==
+          Each.Targets.end()) {
+        Each.Former.push_back({Service, Until});
+      }
+    };
+    for (const RouteTarget &Target : Found->second->Targets) {
+      Keep(Target.Service, Now);
+    }
+    for (const FormerTarget &Target : Found->second->Former) {
+      if (Now - Target.Until < FlowLifetime) {
+        Keep(Target.Service, Target.Until);
+      }
+    }
+  }
+}
+
+Result<void> DirectoryBuilder::onRoutes(RouteSet Next, bool Skips,
+                                        Instant Now) {
   if (this->HasRoutes && Next.Version < this->Routes.Version) {
     return makeError(
         ErrorKind::OlderTable,
@@ -81,6 +113,10 @@
       {{"version", static_cast<std::int64_t>(Next.Version)},
        {"previous", static_cast<std::int64_t>(this->Routes.Version)},
        {"routes", static_cast<std::int64_t>(Next.Routes.size())}});
+  this->keepFormerTargets(Next, Now);
+  if (Skips || !this->HasRoutes) {
+    this->Listing.RoutesKnownSince = Now;
+  }
   this->Routes = std::move(Next);
   this->HasRoutes = true;
   this->Cached = nullptr;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -8,12 +8,18 @@
 namespace mulberryhoist {
 namespace {
 
+/// When a candidate is visited; those of a later group follow all others.
+enum class VisitOrder : std::uint8_t {
+  Preferred,
+  FormerRoute, ///< Only an earlier version of the routes leads there.
+  Deferred,    ///< Avoided or gone.
+};
+
 /// A candidate with its rendezvous score; the lowest score comes first.
 struct RankedCandidate {
   double Score = 0;
   Candidate Target;
-  /// Sorted after all candidates that are not deferred.
-  bool IsDeferred = false;
+  VisitOrder Order = VisitOrder::Preferred;
 };
 
 /// A list of candidates, best first.
@@ -44,7 +50,7 @@
 void sortAndDeduplicate(RankedCandidates &List) {
   std::ranges::sort(
       List, [](const RankedCandidate &A, const RankedCandidate &B) {
-        return A.IsDeferred != B.IsDeferred ? B.IsDeferred : A.Score < B.Score;
+        return std::pair(A.Order, A.Score) < std::pair(B.Order, B.Score);
       });
   std::vector<std::uint32_t> Seen;
   std::erase_if(List, [&Seen](const RankedCandidate &Each) {
@@ -55,18 +61,18 @@
   });
 }
 
-/// Appends the upstreams of a service for which `Accepts` is true; those for
-/// which `Defers` is true are sorted last.
-template <typename Filter, typename Deferral>
+/// Appends the upstreams of a service for which `Accepts` is true, in the order
+/// that `Place` returns.
+template <typename Filter, typename Placement>
 void appendCandidates(const Directory &From, ServiceId Service,
                       const FlowKey &Key, const Filter &Accepts,
-                      const Deferral &Defers, RankedCandidates &Out) {
+                      const Placement &Place, RankedCandidates &Out) {
   const std::uint64_t FlowHash = hashFlow(Key);
   for (const ListedUpstream &Each : From.upstreams(Service)) {
     if (Accepts(Each)) {
       Out.push_back({rendezvousScore(FlowHash, Each.Id, Each.Slots),
                      {Each.Address, Each.Slots},
-                     Defers(Each)});
+                     Place(Each)});
     }
   }
 }
@@ -97,6 +103,10 @@
 
 void SteeringLogic::onDirectory(std::shared_ptr<const Directory> Next) {
   this->InForce = std::move(Next);
+  const auto Services = this->InForce->services();
+  this->HasStartedWithFleet =
+      this->HasStartedWithFleet ||
+      (!Services.empty() && this->isJointRestart(Services));
   std::erase_if(this->Agents, [this](const auto &Each) {
     return !this->InForce->knowsAgent(Each.first);
   });
@@ -151,7 +161,9 @@
         return Each.State == UpstreamState::Ready;
       },
       [this](const ListedUpstream &Each) {
-        return this->avoidance(Each.Address) != Avoidance::None;
+        return this->avoidance(Each.Address) == Avoidance::None
+                   ? VisitOrder::Preferred
+                   : VisitOrder::Deferred;
       },
       Order);
   if (Order.empty()) {
@@ -160,8 +172,8 @@
     return;
   }
   sortAndDeduplicate(Order);
-  const auto Avoided = std::ranges::find_if(
-      Order, [](const RankedCandidate &Each) { return Each.IsDeferred; });
+  const auto Avoided =
+      std::ranges::find(Order, VisitOrder::Deferred, &RankedCandidate::Order);
   // If all agents are avoided, they are candidates nevertheless: an avoided
   // agent may still accept the opening.
   if (Avoided != Order.begin()) {
@@ -226,17 +238,24 @@
     Out.emplace_back(record(Decision::PacketWithoutRoute, Key));
     return;
   }
-  const bool IsJointRestart = this->isJointRestart(*Matched);
+  std::vector<ServiceId> Services = this->flowServices(*Matched, Now);
+  const bool IsJointRestart = this->isJointRestart(Services);
   RankedCandidates Order;
-  for (const RouteTarget &Each : Matched->Targets) {
+  for (const ServiceId Service : Services) {
+    const bool IsFormer =
+        std::ranges::find(Matched->Targets, Service, &RouteTarget::Service) ==
+        Matched->Targets.end();
     appendCandidates(
-        *this->InForce, Each.Service, Key,
+        *this->InForce, Service, Key,
         [&](const ListedUpstream &Listed) {
           return !this->isLost(Listed, IsJointRestart, Now);
         },
-        [this](const ListedUpstream &Listed) {
-          return Listed.State == UpstreamState::Gone ||
-                 this->avoidance(Listed.Address) == Avoidance::Suspected;
+        [&](const ListedUpstream &Listed) {
+          if (Listed.State == UpstreamState::Gone ||
+              this->avoidance(Listed.Address) == Avoidance::Suspected) {
+            return VisitOrder::Deferred;
+          }
+          return IsFormer ? VisitOrder::FormerRoute : VisitOrder::Preferred;
         },
         Order);
   }
@@ -257,19 +276,48 @@
   Begun.Edition = this->InForce->edition();
   Begun.BeganAt = Now;
   Begun.ExpectsAnswer = !Packet.View.Payload.empty();
+  Begun.Services = std::move(Services);
   Begun.Remaining.reserve(Order.size());
   for (const RankedCandidate &Each : Order) {
     Begun.Remaining.push_back(Each.Target);
   }
-  this->sendPart(Number, Begun, *Matched, Packet.Bytes, Now, Out);
+  this->sendPart(Number, Begun, Packet.Bytes, Now, Out);
+}
+
+bool SteeringLogic::knowsAllRoutes(Instant Now) const {
+  const auto &Since = this->InForce->completeness().RoutesKnownSince;
+  const bool IsKnownFromStart =
+      this->HasStartedWithFleet && Since &&
+      *Since - this->Settings.StartedAt <= JointRestartSpan;
+  return IsKnownFromStart || (Since && Now - *Since >= FlowLifetime);
+}
+
+std::vector<ServiceId> SteeringLogic::flowServices(const Route &Matched,
+                                                   Instant Now) const {
+  std::vector<ServiceId> Services;
+  const auto Add = [&Services](ServiceId Each) {
+    if (std::ranges::find(Services, Each) == Services.end()) {
+      Services.push_back(Each);
+    }
+  };
+  for (const RouteTarget &Each : Matched.Targets) {
+    Add(Each.Service);
+  }
+  for (const FormerTarget &Each : Matched.Former) {
+    Add(Each.Service);
+  }
+  if (!this->knowsAllRoutes(Now)) {
+    std::ranges::for_each(this->InForce->services(), Add);
+  }
+  return Services;
 }
 
 void SteeringLogic::sendPart(std::uint32_t Number, Search &Each,
-                             const Route &Matched, PacketBytes Bytes,
-                             Instant Now, SteerActionList &Out) {
+                             PacketBytes Bytes, Instant Now,
+                             SteerActionList &Out) {
   Steer Header;
-  for (const RouteTarget &Target : Matched.Targets) {
-    if (!Header.Services.add(Target.Service)) {
+  for (const ServiceId Service : Each.Services) {
+    if (!Header.Services.add(Service)) {
       break;
     }
   }
@@ -297,7 +345,7 @@
   }
 }
 
-bool SteeringLogic::isJointRestart(const Route &Matched) const {
+bool SteeringLogic::isJointRestart(std::span<const ServiceId> Services) const {
   const auto &SettledAt = this->InForce->completeness().SettledAt;
   const bool IsFirstListing =
       this->Settings.StartedAtUnix.count() != 0 && SettledAt &&
@@ -306,8 +354,8 @@
   if (!IsFirstListing) {
     return false;
   }
-  return std::ranges::all_of(Matched.Targets, [this](const RouteTarget &Each) {
-    const auto Listed = this->InForce->upstreams(Each.Service);
+  return std::ranges::all_of(Services, [this](ServiceId Each) {
+    const auto Listed = this->InForce->upstreams(Each);
     return !Listed.empty() &&
            std::ranges::all_of(Listed, [this](const ListedUpstream &Upstream) {
              return Upstream.State == UpstreamState::Gone ||
@@ -316,13 +364,14 @@
   });
 }
 
-bool SteeringLogic::isListingComplete(const Route &Matched, Instant Now) const {
+bool SteeringLogic::isListingComplete(std::span<const ServiceId> Services,
+                                      Instant Now) const {
   const auto &SettledAt = this->InForce->completeness().SettledAt;
   // Before the listing has settled, an upstream that lives may not have
   // registered again after an outage of the source. If all others have just
   // restarted together with the balancer, the VMs have lost power, and so has
   // that one.
-  return SettledAt && (Now >= *SettledAt || this->isJointRestart(Matched));
+  return SettledAt && (Now >= *SettledAt || this->isJointRestart(Services));
 }
 
 bool SteeringLogic::isLost(const ListedUpstream &Each, bool IsJointRestart,
@@ -360,28 +409,30 @@
                            static_cast<std::ptrdiff_t>(Each.PartSize));
   const Route *Matched = this->InForce->findRoute(Key.Service);
   if (Matched != nullptr && !Each.Remaining.empty()) {
-    this->sendPart(Body.Search, Each, *Matched, Packet.Bytes, Now, Out);
+    this->sendPart(Body.Search, Each, Packet.Bytes, Now, Out);
     return;
   }
   const FlowNotHeld Result = {Each.Edition, Packet.View.Acknowledgment, Now};
+  const std::vector<ServiceId> Services = std::move(Each.Services);
   this->Searches.erase(Found);
   if (!Packet.View.Flags.Rst) {
-    this->onSearchExhausted(Key, Result, From.Address, Out);
+    this->onSearchExhausted(Key, Result, Services, From.Address, Out);
   }
 }
 
 void SteeringLogic::onSearchExhausted(const FlowKey &Flow,
                                       const FlowNotHeld &Result,
+                                      std::span<const ServiceId> Services,
                                       std::uint32_t Agent,
                                       SteerActionList &Out) {
   const Route *Matched = this->InForce->findRoute(Flow.Service);
   // A message names at most `MaxSteerServices`; agents of other services pass a
   // packet on without asking their upstreams.
   const bool MayReset = Matched != nullptr &&
-                        Matched->Targets.size() <= MaxSteerServices &&
+                        Services.size() <= MaxSteerServices &&
                         Result.Edition == this->InForce->edition() &&
                         this->FlowsNotHeld.size() < MaxSearches &&
-                        this->isListingComplete(*Matched, Result.ReportedAt);
+                        this->isListingComplete(Services, Result.ReportedAt);
   Out.emplace_back(
       record(MayReset ? Decision::FlowNotHeld : Decision::FlowNotHeldIgnored,
              Flow, Agent));
@@ -495,8 +546,8 @@
     this->UnansweredOpenings.erase(Opening);
   } else if (this->InForce != nullptr) {
     if (const Route *Matched = this->InForce->findRoute(Key.Service)) {
-      for (const RouteTarget &Each : Matched->Targets) {
-        (void)Services.add(Each.Service);
+      for (const ServiceId Each : this->flowServices(*Matched, Now)) {
+        (void)Services.add(Each);
       }
     }
   }
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -30,18 +30,108 @@
 
 // Guards against a process that returns to an older configuration.
 TEST_F(DirectoryBuilderTest, OlderConfigurationIsRejected) {
-  ASSERT_TRUE(this->Builder.onRoutes(routes(7)).has_value());
-  EXPECT_EQ(this->Builder.onRoutes(routes(6)).error().Kind,
+  ASSERT_TRUE(this->Builder.onRoutes(routes(7), false, this->Now).has_value());
+  EXPECT_EQ(this->Builder.onRoutes(routes(6), false, this->Now).error().Kind,
             ErrorKind::OlderTable);
-  EXPECT_TRUE(this->Builder.onRoutes(routes(7)).has_value());
+  EXPECT_TRUE(this->Builder.onRoutes(routes(7), false, this->Now).has_value());
   EXPECT_EQ(this->Builder.version(), 7U);
 }
 
+struct FormerTargetRow {
+  std::string Name;
+  /// The services of successive versions; none if the route is removed.
+  std::vector<std::vector<ServiceId>> Versions;
+  /// The time between two versions.
+  Duration Gap = std::chrono::seconds(1);
+  std::vector<ServiceId> Former = {};
+};
+
+class FormerTargetTest : public DirectoryBuilderTest,
+                         public testing::WithParamInterface<FormerTargetRow> {};
+
+// Guards against flows that count as gone because their service left the route
+// (review case 1).
+TEST_P(FormerTargetTest, ServicesThatLeftARouteAreKept) {
+  const FormerTargetRow &Row = GetParam();
+  for (std::size_t I = 0; I < Row.Versions.size(); ++I) {
+    RouteSet Next = routes(I + 1);
+    Next.Routes[0].Targets.clear();
+    for (const ServiceId Each : Row.Versions[I]) {
+      Next.Routes[0].Targets.push_back({Each, 1});
+    }
+    if (Row.Versions[I].empty()) {
+      Next.Routes.clear();
+    }
+    ASSERT_TRUE(
+        this->Builder.onRoutes(std::move(Next), false, this->Now).has_value());
+    this->Now += Row.Gap;
+  }
+  std::vector<ServiceId> Former = {};
+  for (const FormerTarget &Each :
+       this->Builder.current()->findRoute(Orders)->Former) {
+    Former.push_back(Each.Service);
+  }
+  EXPECT_EQ(Former, Row.Former);
+}
+
+inline const ServiceId ThirdService = serviceId("third");
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, FormerTargetTest,
+    testing::Values(
+        FormerTargetRow{.Name = "unchanged",
+                        .Versions = {{OrderService}, {OrderService}}},
+        FormerTargetRow{
+            .Name = "weightOfZero",
+            .Versions = {{OrderService, TemplateService}, {OrderService}},
+            .Former = {TemplateService}},
+        FormerTargetRow{.Name = "otherService",
+                        .Versions = {{OrderService}, {TemplateService}},
+                        .Former = {OrderService}},
+        FormerTargetRow{
+            .Name = "twoChanges",
+            .Versions = {{OrderService}, {TemplateService}, {ThirdService}},
+            .Former = {TemplateService, OrderService}},
+        FormerTargetRow{
+            .Name = "cameBack",
+            .Versions = {{OrderService}, {TemplateService}, {OrderService}},
+            .Former = {TemplateService}},
+        FormerTargetRow{.Name = "longAgo",
+                        .Versions = {{OrderService},
+                                     {TemplateService},
+                                     {TemplateService},
+                                     {ThirdService}},
+                        .Gap = FlowLifetime / 2,
+                        .Former = {TemplateService}},
+        // Removing a route ends its flows.
+        FormerTargetRow{.Name = "removedAndAddedAgain",
+                        .Versions = {{OrderService}, {}, {TemplateService}}}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against the reset of a flow that a version opened which this balancer
+// has not seen.
+TEST_F(DirectoryBuilderTest, SkippedVersionBeginsTheHistoryOfRoutesAnew) {
+  const auto Since = [this] {
+    return this->Builder.completeness().RoutesKnownSince;
+  };
+  EXPECT_FALSE(Since().has_value());
+  const Instant First = this->Now;
+  ASSERT_TRUE(this->Builder.onRoutes(routes(1), true, First).has_value());
+  EXPECT_EQ(Since(), First);
+  this->Now += std::chrono::seconds(1);
+  ASSERT_TRUE(this->Builder.onRoutes(routes(2), false, this->Now).has_value());
+  // A list that has the current version skips none.
+  ASSERT_TRUE(this->Builder.onRoutes(routes(2), true, this->Now).has_value());
+  EXPECT_EQ(Since(), First);
+  ASSERT_TRUE(this->Builder.onRoutes(routes(4), true, this->Now).has_value());
+  EXPECT_EQ(Since(), this->Now);
+}
+
 TEST_F(DirectoryBuilderTest, IsCompleteOnlyWithRoutesAndListing) {
   EXPECT_FALSE(this->Builder.isComplete());
   this->Builder.onListing({upstream(1)}, this->Now);
   EXPECT_FALSE(this->Builder.isComplete());
-  ASSERT_TRUE(this->Builder.onRoutes(routes()).has_value());
+  ASSERT_TRUE(this->Builder.onRoutes(routes(), false, this->Now).has_value());
   EXPECT_TRUE(this->Builder.isComplete());
 }
 
@@ -143,7 +233,7 @@
   SharedDirectory Shared;
   const Instant Now = Instant(std::chrono::hours(1));
   Shared.update([Now](DirectoryBuilder &Builder) {
-    (void)Builder.onRoutes(routes(7));
+    (void)Builder.onRoutes(routes(7), false, Instant());
     Builder.onListing({upstream(1)}, Now);
   });
   EXPECT_FALSE(Shared.confirm(std::vector{upstream(2)}, Now));
--- a/test/malformed-input-test.cc
+++ b/test/malformed-input-test.cc
@@ -168,7 +168,7 @@
   auto Parsed = readDirectory(Input);
   if (Parsed) {
     DirectoryBuilder Builder;
-    (void)Builder.onRoutes(std::move(Parsed->Routes));
+    (void)Builder.onRoutes(std::move(Parsed->Routes), true, Instant());
     Builder.onPeerListing(std::move(Parsed->Upstreams));
     // Names of any bytes must not end the process when they are shown.
     (void)writeDirectory(*Builder.current(), Parsed->Source);
@@ -178,7 +178,7 @@
 void readConfiguration(const std::string &Input) {
   if (auto Parsed = parseRoutes(Input)) {
     DirectoryBuilder Builder;
-    (void)Builder.onRoutes(std::move(*Parsed));
+    (void)Builder.onRoutes(std::move(*Parsed), true, Instant());
     (void)writeDirectory(*Builder.current(), {});
   }
 }
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -624,5 +624,88 @@
   EXPECT_EQ(visited(Located[0]).size(), 2U);
 }
 
+struct FormerServiceRow {
+  std::string Name;
+  /// Whether the balancer saw the version that sent flows to the other service.
+  bool IsFormerKnown = false;
+  /// How long the balancer has seen every version.
+  Duration KnownFor{};
+  /// Whether all VMs have started together with the balancer.
+  bool IsJointRestart = false;
+  /// How long the balancer has run; the source was lost meanwhile.
+  Duration Uptime{};
+  /// Whether a version may have been missed while the source was lost.
+  bool IsRouteSkipped = false;
+  bool IsSearched = false;
+};
+
+class FormerServiceTest : public SteeringTest,
+                          public testing::WithParamInterface<FormerServiceRow> {
+};
+
+// Guards against the reset of an open flow whose service gets no new flows of
+// the route any more: a search asked only the services of the newest routes
+// (review case 1).
+TEST_P(FormerServiceTest, HolderOfAnEarlierRouteIsAskedBeforeAReset) {
+  const FormerServiceRow &Row = GetParam();
+  this->Listing.RoutesKnownSince = this->Now - Row.KnownFor;
+  if (Row.IsJointRestart) {
+    this->Listing.SettledAt = this->Now + ReregistrationGrace;
+  }
+  ListedUpstream Other = upstream(4);
+  Other.Service = TemplateService;
+  std::vector<ListedUpstream> All = {upstream(1), upstream(2), upstream(3),
+                                     Other};
+  for (ListedUpstream &Each : All) {
+    Each.StartedAt = Row.IsJointRestart ? UnixStart : milliseconds(1);
+  }
+  RouteSet Latest = routes();
+  if (Row.IsFormerKnown) {
+    Latest.Routes[0].Former = {{TemplateService, this->Now}};
+  }
+  this->use(All, Latest);
+  this->Now += Row.Uptime;
+  this->Listing.SettledAt = Instant(std::chrono::minutes(1));
+  if (Row.IsRouteSkipped) {
+    this->Listing.RoutesKnownSince = this->Now;
+  }
+  this->use(All, Latest);
+  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  const auto Agents = visited(Sent[0]);
+  EXPECT_EQ(Agents.contains(agentAddress(4)), Row.IsSearched);
+  EXPECT_EQ(Sent[0].second.Services.contains(TemplateService), Row.IsSearched);
+  // Upstreams that get the route's new flows come first.
+  EXPECT_NE(Sent[0].first, agentAddress(4));
+  (void)this->taken(4, 9, 500);
+  const auto Next = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  EXPECT_EQ(Next[0].first, agentAddress(4));
+  EXPECT_EQ(Next[0].second.Services.contains(TemplateService), Row.IsSearched);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, FormerServiceTest,
+    testing::Values(
+        FormerServiceRow{.Name = "versionSeen",
+                         .IsFormerKnown = true,
+                         .KnownFor = std::chrono::hours(1),
+                         .IsSearched = true},
+        FormerServiceRow{.Name = "startedAfterTheChange", .IsSearched = true},
+        FormerServiceRow{.Name = "startedALifetimeAgo",
+                         .KnownFor = FlowLifetime},
+        FormerServiceRow{.Name = "startedShorterAgo",
+                         .KnownFor = FlowLifetime - milliseconds(1),
+                         .IsSearched = true},
+        // After a loss of power no flow is older than the balancer.
+        FormerServiceRow{.Name = "allVmsLostPower", .IsJointRestart = true},
+        FormerServiceRow{.Name = "allVmsLostPowerBefore",
+                         .IsJointRestart = true,
+                         .Uptime = std::chrono::seconds(20)},
+        FormerServiceRow{.Name = "missedAVersionSince",
+                         .IsJointRestart = true,
+                         .Uptime = std::chrono::seconds(20),
+                         .IsRouteSkipped = true,
+                         .IsSearched = true}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace mulberryhoist
