Search for flows among the agents before the upstreams

Cause: under overload, packets are lost on the way of a search.

Change: a search visits the agents first, which pass on what is not in their flow tables without asking their upstreams; the agent that knows the flow tells the balancer at once instead of with the next answer. Upstreams are asked only after all agents that are not suspected have passed the packet on (one may have restarted), for 1 s after the first time, and none again that has returned a packet of the flow. A search that has not asked every upstream proves nothing, so that the flow is not reset.

UpstreamsAreAskedForAFlowOnlyForAShortTime and SearchAmongAgentsReachesOnlyTheOwnUpstream fail without the limit and without the pass among the agents.

--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -93,6 +93,12 @@
   std::uint32_t Hops = 0;
   /// The balancer's number of the search that the message is part of, or 0.
   std::uint32_t Search = 0;
+  /// An upstream that was asked may hold the flow: it has neither answered nor
+  /// returned its packets.
+  bool Incomplete = false;
+  /// Agents that do not know the flow pass the packet on without asking their
+  /// upstreams.
+  bool KnownOnly = false;
 };
 
 /// Notifies a balancer that the sender is the owner of a flow or holds its
@@ -116,6 +122,9 @@
 struct NotHeld {
   /// `Steer::Search` of the packet's message.
   std::uint32_t Search = 0;
+  /// `Steer::Incomplete` of the packet's last message; some upstream has not
+  /// returned the packet then.
+  bool Incomplete = false;
 };
 
 /// Checks whether an agent is alive.
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -135,6 +135,8 @@
     std::optional<std::uint32_t> UpstreamSequence;
     std::uint32_t Balancer = 0;
     bool Notify = false;
+    /// Whether the upstream has sent a packet of the flow.
+    bool HasAnswered = false;
     bool CountedInLoad = false;
     /// Set if a slot was free when the request arrived; its response time then
     /// is its service time.
@@ -160,6 +162,21 @@
     Steer Header;
   };
 
+  /// A flow that the upstream is not known to hold, whose packets it was sent.
+  struct ForeignFlow {
+    /// The acknowledgment number of the last packet that the upstream was sent,
+    /// or has returned.
+    std::uint32_t Acknowledgment = 0;
+    std::optional<Instant> AskedAt;
+    /// Whether the upstream has returned a packet: it accepts the flow only by
+    /// an opening, which the agent would see.
+    bool IsReturned = false;
+
+    /// Returns whether a packet belongs to the incarnation of the flow of which
+    /// the upstream has returned a packet.
+    bool hasReturned(const PacketView &Packet) const;
+  };
+
   using FlowMap = std::unordered_map<FlowKey, SteeringAgentFlow>;
 
   /// Packets that can be in flight to the upstream and back; it responds within
@@ -191,6 +208,14 @@
                      SteerActionList &Out);
   void onFlowPacket(const Steer &Header, const RoutedPacket &Packet,
                     Instant Now, SteerActionList &Out);
+  /// Returns whether the upstream has accepted the flow by a SYN-ACK that the
+  /// caller acknowledges, as far as the agent has seen.
+  static bool isOwn(const SteeringAgentFlow &Flow, const PacketView &Packet);
+  /// Sends the upstream a packet of a flow that it may not hold, or passes the
+  /// packet on if it is known not to hold it.
+  void askUpstream(const Steer &Header, const RoutedPacket &Packet, Instant Now,
+                   SteerActionList &Out);
+  void onFlowReturned(const PacketView &Packet);
   void trackRequest(SteeringAgentFlow &Flow, const Steer &Header,
                     const PacketView &Packet, Instant Now);
   void trackResponse(SteeringAgentFlow &Flow, const PacketView &Packet,
@@ -214,6 +239,8 @@
 
   SteeringAgentSettings Settings;
   FlowMap Flows;
+  /// Keeps packets from upstreams that have returned earlier ones.
+  std::unordered_map<FlowKey, ForeignFlow> ForeignFlows;
   /// Ordered by time, oldest first.
   std::deque<AwaitedRequest> Awaited;
   OpeningQueue HeldOpenings;
@@ -232,6 +259,7 @@
   std::uint32_t UnansweredOpenings = 0;
   Instant UnansweredSince;
   bool Silent = false;
+  Instant LastUpstreamPacket;
   Instant LastFlowPacket;
   Instant NextSilentProbe;
   Instant NextSweep;
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -80,6 +80,14 @@
 /// unanswered; longer than a request of the slowest class takes.
 inline constexpr Duration SearchTimeout = std::chrono::seconds(1);
 
+/// How long upstreams may be asked for a flow that no agent knows, from the
+/// first time on: shorter than the time for which packets of an open flow may
+/// reach others than its own (2 s), with allowance for queues in the network.
+inline constexpr Duration AskWindow = std::chrono::seconds(1);
+
+/// The most flows for which upstreams have been asked; no others are asked for.
+inline constexpr std::size_t MaxAskedFlows = 65'536;
+
 /// The most searches whose answers are awaited, and the most flows without
 /// holder that wait for a confirmation; bounds memory, at some hundred bytes
 /// each.
@@ -228,11 +236,22 @@
     bool IsChecked = false;
     /// Whether the owner of the flow answers the packet: it carries data.
     bool ExpectsAnswer = false;
+    /// Whether some upstream has neither answered nor returned the packet.
+    bool IsIncomplete = false;
     /// The services whose upstreams are asked.
     std::vector<ServiceId> Services;
     /// The agents of the present part and of later ones, in order.
     std::vector<Candidate> Remaining;
+    /// The agents whose upstreams are asked once no agent knows the flow.
+    std::vector<Candidate> ToAsk;
+    bool IsKnownOnly = true;
     std::size_t PartSize = 0;
+
+    void beginToAsk() {
+      this->Remaining = std::exchange(this->ToAsk, {});
+      this->IsKnownOnly = false;
+      this->IsIncomplete = false;
+    }
   };
 
   /// A flow whose packet all upstreams have returned.
@@ -270,8 +289,10 @@
   /// not returned their packets.
   bool isLost(const ListedUpstream &Each, bool IsJointRestart,
               Instant Now) const;
+  /// Returns whether upstreams may be asked for a flow that no agent knows.
+  bool mayAsk(const FlowKey &Key, Instant Now) const;
   void onSearchExhausted(const FlowKey &Flow, const FlowNotHeld &Result,
-                         std::span<const ServiceId> Services,
+                         bool IsIncomplete, std::span<const ServiceId> Services,
                          std::uint32_t Agent, SteerActionList &Out);
   void checkSilentAgents(Search &Each, Instant Now, SteerActionList &Out);
   void processSearches(Instant Now, SteerActionList &Out);
@@ -310,6 +331,8 @@
   std::map<std::uint32_t, Search> Searches;
   std::uint32_t NextSearch = 1;
   Instant NextSearchSweep;
+  /// When upstreams were first asked for flows whose owners are unknown.
+  std::unordered_map<FlowKey, Instant> AskedFlows;
   std::unordered_map<FlowKey, FlowNotHeld> FlowsNotHeld;
   bool NeedsConfirmation = false;
   std::unordered_map<std::uint32_t, AgentHealth> Agents;
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -30,6 +30,8 @@
   To.set_least_load(From.LeastLoad);
   To.set_hops(From.Hops);
   To.set_search(From.Search);
+  To.set_incomplete(From.Incomplete);
+  To.set_known_only(From.KnownOnly);
 }
 
 void write(const Taken &From, proto::SteerEnvelope &Envelope) {
@@ -45,7 +47,9 @@
 }
 
 void write(const NotHeld &From, proto::SteerEnvelope &Envelope) {
-  Envelope.mutable_not_held()->set_search(From.Search);
+  proto::NotHeld &To = *Envelope.mutable_not_held();
+  To.set_search(From.Search);
+  To.set_incomplete(From.Incomplete);
 }
 
 void write(const Check &From, proto::SteerEnvelope &Envelope) {
@@ -91,6 +95,8 @@
   To.LeastLoad = From.least_load();
   To.Hops = From.hops();
   To.Search = From.search();
+  To.Incomplete = From.incomplete();
+  To.KnownOnly = From.known_only();
   return To;
 }
 
@@ -126,7 +132,7 @@
     case Envelope::kRefused:
       return read(From.refused());
     case Envelope::kNotHeld:
-      return NotHeld{From.not_held().search()};
+      return NotHeld{From.not_held().search(), From.not_held().incomplete()};
     case Envelope::kCheck:
       return Check{From.check().sequence()};
     case Envelope::kCheckReply:
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -228,6 +228,7 @@
                               SteerActionList &Out) {
   const FlowKey &Key = Flow.Key;
   const std::uint32_t Tag = this->recordForwarded(Header);
+  this->ForeignFlows.erase(Key);
   if (this->Flows.size() < this->Settings.MaxFlows) {
     SteeringAgentFlow &Entry = this->Flows[Key];
     this->removeFromLoad(Entry);
@@ -262,7 +263,7 @@
                                   Key, Header));
     if (!IsOpening) {
       Out.emplace_back(SendSteer{{Header.Balancer, this->Settings.PeerPort},
-                                 NotHeld{Header.Search},
+                                 NotHeld{Header.Search, Header.Incomplete},
                                  Packet.Bytes});
     }
     return;
@@ -283,7 +284,19 @@
 void SteeringAgentLogic::onFlowPacket(const Steer &Header,
                                       const RoutedPacket &Packet, Instant Now,
                                       SteerActionList &Out) {
-  const auto Found = this->Flows.find(Packet.View.callerFlow());
+  const FlowKey Key = Packet.View.callerFlow();
+  const auto Found = this->Flows.find(Key);
+  const bool IsOwn = Found != this->Flows.end() &&
+                     SteeringAgentLogic::isOwn(Found->second, Packet.View);
+  if (!IsOwn && Header.KnownOnly) {
+    const auto Foreign = this->ForeignFlows.find(Key);
+    Steer NextHeader = Header;
+    NextHeader.Incomplete = Header.Incomplete ||
+                            Foreign == this->ForeignFlows.end() ||
+                            !Foreign->second.hasReturned(Packet.View);
+    this->forwardToNext(NextHeader, Packet, Out);
+    return;
+  }
   if (Found != this->Flows.end()) {
     SteeringAgentFlow &Flow = Found->second;
     Flow.LastSeen = Now;
@@ -291,12 +304,61 @@
     Flow.Notify = Flow.Notify || Header.Notify;
     this->trackRequest(Flow, Header, Packet.View, Now);
   }
-  // The upstream can return packets even of a flow in the flow table: it has
-  // restarted, or the caller used the faster response of another upstream.
+  if (!IsOwn) {
+    this->askUpstream(Header, Packet, Now, Out);
+    return;
+  }
+  if (Header.KnownOnly) {
+    // The upstream may take long to answer, and the caller's next packets
+    // would be searched for meanwhile.
+    this->notifyBalancer(Key, Found->second, Out);
+  }
+  // The upstream returns the packet if it has restarted.
   Out.emplace_back(
       ForwardToUpstream{Packet.Bytes, this->recordForwarded(Header)});
 }
 
+bool SteeringAgentLogic::isOwn(const SteeringAgentFlow &Flow,
+                               const PacketView &Packet) {
+  // The caller may have used the faster response of another upstream. The
+  // sequence numbers are unknown if the agent has restarted.
+  return Flow.HasAnswered && (!Flow.UpstreamSequence ||
+                              Flow.Request.hasSent(Packet.Acknowledgment));
+}
+
+bool SteeringAgentLogic::ForeignFlow::hasReturned(
+    const PacketView &Packet) const {
+  // Incarnations of a flow are rarely as close.
+  constexpr std::uint32_t IncarnationSpan = 1U << 24U;
+  const std::uint32_t Distance = Packet.Acknowledgment - this->Acknowledgment;
+  return this->IsReturned &&
+         (Distance < IncarnationSpan || 0 - Distance < IncarnationSpan);
+}
+
+void SteeringAgentLogic::askUpstream(const Steer &Header,
+                                     const RoutedPacket &Packet, Instant Now,
+                                     SteerActionList &Out) {
+  if (this->ForeignFlows.size() >= this->Settings.MaxFlows) {
+    this->ForeignFlows.clear();
+  }
+  ForeignFlow &Each = this->ForeignFlows[Packet.View.callerFlow()];
+  if (Each.hasReturned(Packet.View)) {
+    this->forwardToNext(Header, Packet, Out);
+    return;
+  }
+  Each = {Packet.View.Acknowledgment, Now, false};
+  Out.emplace_back(
+      ForwardToUpstream{Packet.Bytes, this->recordForwarded(Header)});
+}
+
+void SteeringAgentLogic::onFlowReturned(const PacketView &Packet) {
+  // A table that is full forgets flows that are asked for again.
+  if (this->ForeignFlows.size() < this->Settings.MaxFlows) {
+    ForeignFlow &Each = this->ForeignFlows[Packet.callerFlow()];
+    Each = {Packet.Acknowledgment, this->LastUpstreamPacket, true};
+  }
+}
+
 void SteeringAgentLogic::trackRequest(SteeringAgentFlow &Flow,
                                       const Steer &Header,
                                       const PacketView &Packet, Instant Now) {
@@ -345,12 +407,14 @@
     Out.emplace_back(Record);
   }
   this->UnansweredOpenings = 0;
+  this->LastUpstreamPacket = Now;
   if (Packet.Returned) {
     this->onReturned(Packet, Out);
     return;
   }
   this->LastFlowPacket = Now;
   const FlowKey Key = Packet.View.upstreamFlow();
+  this->ForeignFlows.erase(Key);
   Out.emplace_back(ForwardToCaller{Key.Caller, Packet.Bytes});
   auto Found = this->Flows.find(Key);
   if (Found == this->Flows.end()) {
@@ -364,6 +428,7 @@
   }
   SteeringAgentFlow &Flow = Found->second;
   Flow.LastSeen = Now;
+  Flow.HasAnswered = true;
   if (Packet.View.Flags.Syn && Packet.View.Flags.Ack) {
     Flow.UpstreamSequence = Packet.View.Sequence;
   }
@@ -395,6 +460,9 @@
                                     SteerActionList &Out) {
   const FlowKey Key = Packet.View.callerFlow();
   const auto Found = this->Flows.find(Key);
+  if (!Packet.View.isOpening()) {
+    this->onFlowReturned(Packet.View);
+  }
   const std::optional<Steer> Header = this->takeForwarded(Packet.Tag);
   if (!Header) {
     RecordDecision Record;
@@ -506,6 +574,7 @@
   }
   this->Settings.Service = Next;
   this->Flows.clear();
+  this->ForeignFlows.clear();
   this->Awaited.clear();
   this->HeldOpenings.clear();
   this->Load = 0;
@@ -537,6 +606,9 @@
   }
   this->NextSweep = Now + SweepPeriod;
   this->Overdue = 0;
+  std::erase_if(this->ForeignFlows, [Now](const auto &Entry) {
+    return Now - Entry.second.AskedAt.value_or(Now) >= SteeringAgentFlowTimeout;
+  });
   for (auto Entry = this->Flows.begin(); Entry != this->Flows.end();) {
     SteeringAgentFlow &Flow = Entry->second;
     this->checkLoad(Entry->first, Flow, Now, Out);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -277,13 +277,32 @@
   Begun.BeganAt = Now;
   Begun.ExpectsAnswer = !Packet.View.Payload.empty();
   Begun.Services = std::move(Services);
-  Begun.Remaining.reserve(Order.size());
+  // An upstream gets a packet of another one's flow only if no agent knows the
+  // flow: an agent has restarted, or the flow is gone. Otherwise a flow whose
+  // packets are lost on the way to its upstream would reach others meanwhile.
+  const bool MayAsk = this->mayAsk(Key, Now);
   for (const RankedCandidate &Each : Order) {
-    Begun.Remaining.push_back(Each.Target);
+    if (MayAsk) {
+      Begun.ToAsk.push_back(Each.Target);
+    }
+    if (!MayAsk || this->avoidance(Each.Target.Agent) != Avoidance::Suspected) {
+      Begun.Remaining.push_back(Each.Target);
+    }
+  }
+  if (Begun.Remaining.empty()) {
+    this->AskedFlows.try_emplace(Key, Now);
+    Begun.beginToAsk();
   }
   this->sendPart(Number, Begun, Packet.Bytes, Now, Out);
 }
 
+bool SteeringLogic::mayAsk(const FlowKey &Key, Instant Now) const {
+  const auto Found = this->AskedFlows.find(Key);
+  return Found == this->AskedFlows.end()
+             ? this->AskedFlows.size() < MaxAskedFlows
+             : Now - Found->second < AskWindow;
+}
+
 bool SteeringLogic::knowsAllRoutes(Instant Now) const {
   const auto &Since = this->InForce->completeness().RoutesKnownSince;
   const bool IsKnownFromStart =
@@ -325,6 +344,7 @@
   Header.Notify = true;
   Header.Final = true;
   Header.Search = Number;
+  Header.KnownOnly = Each.IsKnownOnly;
   Each.PartSize = std::min(Each.Remaining.size(), MaxSearchPart);
   Each.SentAt = Now;
   Each.IsChecked = false;
@@ -404,31 +424,39 @@
     return;
   }
   Search &Each = Found->second;
+  Each.IsIncomplete = Each.IsIncomplete || Body.Incomplete;
   Each.Remaining.erase(Each.Remaining.begin(),
                        Each.Remaining.begin() +
                            static_cast<std::ptrdiff_t>(Each.PartSize));
+  if (Each.Remaining.empty() && !Each.ToAsk.empty() && this->mayAsk(Key, Now)) {
+    this->AskedFlows.try_emplace(Key, Now);
+    Each.beginToAsk();
+  }
   const Route *Matched = this->InForce->findRoute(Key.Service);
   if (Matched != nullptr && !Each.Remaining.empty()) {
     this->sendPart(Body.Search, Each, Packet.Bytes, Now, Out);
     return;
   }
   const FlowNotHeld Result = {Each.Edition, Packet.View.Acknowledgment, Now};
+  const bool IsIncomplete = Each.IsIncomplete;
   const std::vector<ServiceId> Services = std::move(Each.Services);
   this->Searches.erase(Found);
   if (!Packet.View.Flags.Rst) {
-    this->onSearchExhausted(Key, Result, Services, From.Address, Out);
+    this->onSearchExhausted(Key, Result, IsIncomplete, Services, From.Address,
+                            Out);
   }
 }
 
 void SteeringLogic::onSearchExhausted(const FlowKey &Flow,
                                       const FlowNotHeld &Result,
+                                      bool IsIncomplete,
                                       std::span<const ServiceId> Services,
                                       std::uint32_t Agent,
                                       SteerActionList &Out) {
   const Route *Matched = this->InForce->findRoute(Flow.Service);
   // A message names at most `MaxSteerServices`; agents of other services pass a
   // packet on without asking their upstreams.
-  const bool MayReset = Matched != nullptr &&
+  const bool MayReset = Matched != nullptr && !IsIncomplete &&
                         Services.size() <= MaxSteerServices &&
                         Result.Edition == this->InForce->edition() &&
                         this->FlowsNotHeld.size() < MaxSearches &&
@@ -497,6 +525,9 @@
     }
     ++Entry;
   }
+  std::erase_if(this->AskedFlows, [Now](const auto &Entry) {
+    return Now - Entry.second >= FlowLifetime;
+  });
   std::erase_if(this->FlowsNotHeld, [&](const auto &Entry) {
     const bool IsExpired = Now - Entry.second.ReportedAt >= ConfirmationTimeout;
     if (IsExpired) {
@@ -551,6 +582,7 @@
       }
     }
   }
+  this->AskedFlows.erase(Key);
   FlowOwners *Owners = this->findOwners(Key);
   const bool IsNew =
       Owners == nullptr ||
