Let a search go on past an upstream that has crashed

Change: if the upstream has sent nothing at all for 12 ms after it was asked for a flow, the caller's next packet goes on to the next candidates, and the upstream gets a copy, since it may be suspended. The message says that the search is incomplete: it resets nothing.

--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -212,9 +212,10 @@
   /// caller acknowledges, as far as the agent has seen.
   static bool isOwn(const SteeringAgentFlow &Flow, const PacketView &Packet);
   /// Sends the upstream a packet of a flow that it may not hold, or passes the
-  /// packet on if it is known not to hold it.
+  /// packet on if it is known not to hold it or does not answer.
   void askUpstream(const Steer &Header, const RoutedPacket &Packet, Instant Now,
                    SteerActionList &Out);
+  bool isUnanswered(const ForeignFlow &Each, Instant Now) const;
   void onFlowReturned(const PacketView &Packet);
   void trackRequest(SteeringAgentFlow &Flow, const Steer &Header,
                     const PacketView &Packet, Instant Now);
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -335,6 +335,13 @@
          (Distance < IncarnationSpan || 0 - Distance < IncarnationSpan);
 }
 
+bool SteeringAgentLogic::isUnanswered(const ForeignFlow &Each,
+                                      Instant Now) const {
+  return this->Silent ||
+         (Each.AskedAt && this->LastUpstreamPacket < *Each.AskedAt &&
+          Now - *Each.AskedAt >= UpstreamResponseTimeout);
+}
+
 void SteeringAgentLogic::askUpstream(const Steer &Header,
                                      const RoutedPacket &Packet, Instant Now,
                                      SteerActionList &Out) {
@@ -346,6 +353,15 @@
     this->forwardToNext(Header, Packet, Out);
     return;
   }
+  if (this->isUnanswered(Each, Now)) {
+    // The upstream may hold the flow all the same and be unable to answer, so
+    // that it gets a copy; the tag keeps the copy from being passed on again.
+    Out.emplace_back(ForwardToUpstream{Packet.Bytes, 0});
+    Steer NextHeader = Header;
+    NextHeader.Incomplete = true;
+    this->forwardToNext(NextHeader, Packet, Out);
+    return;
+  }
   Each = {Packet.View.Acknowledgment, Now, false};
   Out.emplace_back(
       ForwardToUpstream{Packet.Bytes, this->recordForwarded(Header)});
--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -330,6 +330,61 @@
   }
 }
 
+struct SilentUpstreamRow {
+  std::string Name;
+  /// Whether the upstream was sent an opening of the flow before.
+  bool HasOpening = false;
+  /// Whether the upstream sends something else after the first packet.
+  bool IsAlive = false;
+  Duration Since = milliseconds(200);
+  bool GoesOn = true;
+};
+
+class SilentUpstreamTest
+    : public SteeringAgentTest,
+      public testing::WithParamInterface<SilentUpstreamRow> {};
+
+// Guards against a search that ends at an upstream that has crashed, while the
+// agent beside it lives on (review/3).
+TEST_P(SilentUpstreamTest, PacketGoesOnWhenTheCallerSendsItAgain) {
+  if (GetParam().HasOpening) {
+    (void)this->steer(header({2}), opening(9));
+  }
+  const RoutedPacket Packet = callerPacket(9, 9001, true);
+  for (const bool HasNext : {true, false}) {
+    const Steer Header = HasNext ? header({2}) : header();
+    auto Out = this->steer(Header, Packet);
+    if (HasNext) {
+      EXPECT_EQ(Out.size(), 1U);
+      this->Now += GetParam().Since;
+      if (GetParam().IsAlive) {
+        (void)this->fromUpstream(answer(1, true));
+      }
+      Out = this->steer(Header, Packet);
+    }
+    // The upstream may hold the flow all the same, so that it gets a copy and
+    // the search proves nothing.
+    EXPECT_EQ(only<ForwardToUpstream>(Out).size(), 1U);
+    const auto ToNext = sent<Steer>(Out);
+    const auto Notices = sent<NotHeld>(Out);
+    ASSERT_EQ(ToNext.size(), GetParam().GoesOn && HasNext ? 1U : 0U);
+    ASSERT_EQ(Notices.size(), GetParam().GoesOn && !HasNext ? 1U : 0U);
+    EXPECT_TRUE(ToNext.empty() || ToNext[0].second.Incomplete);
+    EXPECT_TRUE(Notices.empty() || Notices[0].second.Incomplete);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, SilentUpstreamTest,
+    testing::Values(
+        SilentUpstreamRow{.Name = "crashed"},
+        SilentUpstreamRow{.Name = "crashedAfterTheOpening", .HasOpening = true},
+        SilentUpstreamRow{.Name = "alive", .IsAlive = true, .GoesOn = false},
+        SilentUpstreamRow{.Name = "notYetOverdue",
+                          .Since = milliseconds(2),
+                          .GoesOn = false}),
+    [](const auto &Info) { return Info.param.Name; });
+
 struct LostFlowRow {
   std::string Name;
   /// The caller acknowledges this sequence number.
