Offer no new flows to evacuated availability zones

Change: the directory holds the evacuations of availability zones with the revision at the source that began or ended each. The newest revision holds; a listing ends those that it does not have; balancers merge their peers' evacuations while the source is away, and remember ended ones for 10 minutes, so that an older copy brings none back. Upstreams of such a zone are no candidates for openings, and an opening with no other candidate is refused at once (`refused_evacuated`); searches still visit them. The watch that balancers have already covers the keys: no further call.

Result: steering-test, directory-test and store-feed-test pass.

--- a/include/mulberryhoist/directory-exchange.h
+++ b/include/mulberryhoist/directory-exchange.h
@@ -25,6 +25,7 @@
   RouteSet Routes;
   std::vector<ListedUpstream> Upstreams;
   SourceStatus Source;
+  std::vector<Evacuation> Evacuations{};
 };
 
 /// Serializes a directory as JSON, without upstreams that are gone.
@@ -39,7 +40,8 @@
 
 /// Fetches the directories of other balancers and applies the best one: one
 /// whose source is available, or any if there is no complete directory yet.
-/// Returns whether a directory was applied.
+/// The evacuations of all of them are merged. Returns whether a directory was
+/// applied.
 bool fetchDirectoryFromPeers(std::span<const Endpoint> Peers,
                              SharedDirectory &To);
 
--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -88,6 +88,8 @@
   std::uint32_t Address = 0;
   std::uint32_t Slots = 1;
   UpstreamState State = UpstreamState::Ready;
+  /// Empty if it is not known; such an upstream is never evacuated.
+  std::string AvailabilityZone;
   /// The creation revision of the entry at the source; greater is newer.
   std::uint64_t Registered = 0;
   /// The revision of the entry's last change at the source.
@@ -96,11 +98,25 @@
   std::chrono::milliseconds StartedAt{0};
   /// When the upstream was found to be gone; set in snapshots only.
   std::optional<Instant> GoneSince;
+  /// Whether the availability zone is evacuated; set in snapshots only.
+  bool IsEvacuated = false;
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
 };
 
+/// Whether an availability zone is evacuated: its upstreams get no new flows.
+struct Evacuation {
+  std::string AvailabilityZone;
+  /// The revision at the source that began or ended the evacuation.
+  std::uint64_t Revision = 0;
+  bool IsActive = true;
+  /// When a balancer first learned of it, in Unix time.
+  std::chrono::milliseconds Since{0};
+
+  friend bool operator==(const Evacuation &, const Evacuation &) = default;
+};
+
 /// Identifies the routes and upstreams of a directory. A search has covered all
 /// upstreams that may hold its flow if the edition has not changed since.
 struct DirectoryEdition {
@@ -129,7 +145,8 @@
 class Directory {
 public:
   Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
-            Completeness Listing = {});
+            Completeness Listing = {},
+            std::vector<Evacuation> Evacuations = {});
 
   std::uint64_t version() const { return this->Version; }
 
@@ -170,10 +187,14 @@
 
   std::span<const Route> routes() const { return this->Routes; }
 
+  /// Returns the evacuations that are active or ended a short time ago.
+  std::span<const Evacuation> evacuations() const { return this->Evacuations; }
+
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
   Completeness Listing;
+  std::vector<Evacuation> Evacuations;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
   std::vector<ServiceId> Services;
@@ -192,6 +213,14 @@
 /// How long an upstream that is gone is kept to locate its flows.
 inline constexpr Duration GoneRetention = FlowLifetime;
 
+/// How long an evacuation that has ended is remembered, so that an older copy
+/// does not bring it back; longer than a balancer or agent holds one.
+inline constexpr Duration EndedEvacuationRetention = std::chrono::minutes(10);
+
+/// The most availability zones with an evacuation, active or ended; beyond it,
+/// ended ones are forgotten.
+inline constexpr std::size_t MaxEvacuations = 1'024;
+
 /// Builds directories from the updates of the source. Not thread-safe.
 class DirectoryBuilder {
 public:
@@ -209,6 +238,19 @@
   /// Replaces all upstreams with a complete list from the source.
   void onListing(std::vector<ListedUpstream> All, Instant Now);
 
+  /// Applies the beginning or end of an evacuation, unless a newer change of
+  /// the zone is known.
+  void onEvacuation(Evacuation Changed, Instant Now);
+
+  /// Replaces the evacuations with a complete list from the source, as of a
+  /// revision; changes with a greater revision stay.
+  void onEvacuationListing(std::span<const Evacuation> All, std::uint64_t AsOf,
+                           Instant Now);
+
+  /// Merges another balancer's evacuations by their revisions. Ignores those
+  /// that the source would have reported already.
+  void onPeerEvacuations(std::span<const Evacuation> All, Instant Now);
+
   /// Records that all changes of the source up to a revision are applied.
   void onRevision(std::uint64_t Applied);
 
@@ -251,6 +293,12 @@
     std::optional<Instant> ExpiresAt;
   };
 
+  struct KnownEvacuation {
+    Evacuation Latest;
+    Instant ChangedAt;
+  };
+
+  bool isEvacuated(std::string_view Zone) const;
   void remove(Entry &Each, Instant Now);
   void markGone(Entry &Each, Instant Now);
   /// Sets the former targets of the next version's routes, which replaces the
@@ -259,6 +307,7 @@
 
   RouteSet Routes;
   std::map<std::string, Entry, std::less<>> Entries;
+  std::map<std::string, KnownEvacuation, std::less<>> Evacuations;
   Completeness Listing;
   std::uint64_t AppliedRevision = 0;
   bool HasRoutes = false;
--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -50,10 +50,11 @@
   UpstreamSilent,     ///< The upstream does not answer openings.
   UpstreamAnswers,    ///< The upstream answers again.
   PauseNoticed,       ///< The process was paused.
+  RefusedEvacuated,   ///< All ready upstreams are in evacuated zones.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 31;
+inline constexpr std::size_t DecisionCount = 32;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -48,9 +48,29 @@
       std::chrono::milliseconds(From.value("started_at_ms", std::int64_t{0}));
   Parsed.State = From.at("ready").get<bool>() ? UpstreamState::Ready
                                               : UpstreamState::Draining;
+  // Balancers of an older version do not send it.
+  Parsed.AvailabilityZone = From.value("zone", std::string());
   return Parsed;
 }
 
+Json evacuationsJson(std::span<const Evacuation> From) {
+  Json All = Json::array();
+  for (const Evacuation &Each : From) {
+    All.push_back({{"zone", Each.AvailabilityZone},
+                   {"revision", Each.Revision},
+                   {"active", Each.IsActive},
+                   {"since_ms", Each.Since.count()}});
+  }
+  return All;
+}
+
+Evacuation readEvacuation(const Json &From) {
+  return {From.at("zone").get<std::string>(),
+          From.at("revision").get<std::uint64_t>(),
+          From.at("active").get<bool>(),
+          std::chrono::milliseconds(From.at("since_ms").get<std::int64_t>())};
+}
+
 } // namespace
 
 std::string writeDirectory(const Directory &From, const SourceStatus &Source) {
@@ -66,6 +86,7 @@
       Upstreams.push_back({{"name", Each.Name},
                            {"service", Each.Service.Value},
                            {"address", Each.Address},
+                           {"zone", Each.AvailabilityZone},
                            {"slots", Each.Slots},
                            {"registered", Each.Registered},
                            {"revision", Each.Revision},
@@ -77,6 +98,7 @@
               {"source_available", Source.IsAvailable},
               {"revision", Source.Revision},
               {"routes", std::move(Routes)},
+              {"evacuations", evacuationsJson(From.evacuations())},
               {"upstreams", std::move(Upstreams)}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -99,6 +121,10 @@
     for (const Json &Each : Root.at("upstreams")) {
       Parsed.Upstreams.push_back(readUpstream(Each));
     }
+    // Balancers of an older version do not send them.
+    for (const Json &Each : Root.value("evacuations", Json::array())) {
+      Parsed.Evacuations.push_back(readEvacuation(Each));
+    }
     return Parsed;
   } catch (const Json::exception &Problem) {
     return makeError(ErrorKind::MalformedMessage, Problem.what());
@@ -122,6 +148,9 @@
       logError(Peer.error());
       continue;
     }
+    To.update([&Peer](DirectoryBuilder &Builder) {
+      Builder.onPeerEvacuations(Peer->Evacuations, now());
+    });
     if (!Best || isBetter(*Peer, *Best)) {
       Best = std::move(*Peer);
     }
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -38,9 +38,9 @@
 }
 
 Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
-                     Completeness Listing)
+                     Completeness Listing, std::vector<Evacuation> Evacuations)
     : Version(Routes.Version), Routes(std::move(Routes.Routes)),
-      Listing(Listing) {
+      Listing(Listing), Evacuations(std::move(Evacuations)) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
@@ -194,6 +194,84 @@
   this->Cached = nullptr;
 }
 
+bool DirectoryBuilder::isEvacuated(std::string_view Zone) const {
+  const auto Found = this->Evacuations.find(Zone);
+  return Found != this->Evacuations.end() && Found->second.Latest.IsActive;
+}
+
+void DirectoryBuilder::onEvacuation(Evacuation Changed, Instant Now) {
+  const std::string Zone = Changed.AvailabilityZone;
+  if (Zone.empty()) {
+    log(LogLevel::Warning, "evacuation without an availability zone ignored",
+        {{"revision", static_cast<std::int64_t>(Changed.Revision)}});
+    return;
+  }
+  const auto Found = this->Evacuations.find(Zone);
+  const bool IsKnown = Found != this->Evacuations.end();
+  if (IsKnown && Changed.Revision <= Found->second.Latest.Revision) {
+    return;
+  }
+  if (!IsKnown && this->Evacuations.size() >= MaxEvacuations) {
+    std::erase_if(this->Evacuations, [](const auto &Each) {
+      return !Each.second.Latest.IsActive;
+    });
+  }
+  const bool WasActive = this->isEvacuated(Zone);
+  const bool IsActive = Changed.IsActive;
+  if (WasActive && IsActive) {
+    // Written again: the evacuation goes on.
+    Changed.Since = Found->second.Latest.Since;
+  } else if (Changed.Since.count() == 0) {
+    Changed.Since = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+  }
+  if (WasActive != IsActive) {
+    const auto Upstreams =
+        std::ranges::count_if(this->Entries, [&Zone](const auto &Each) {
+          return Each.second.Listed.AvailabilityZone == Zone;
+        });
+    log(LogLevel::Info,
+        IsActive ? "evacuation of zone began" : "evacuation of zone ended",
+        {{"zone", Zone},
+         {"revision", static_cast<std::int64_t>(Changed.Revision)},
+         {"upstreams", static_cast<std::int64_t>(Upstreams)}});
+  }
+  this->Evacuations.insert_or_assign(Zone,
+                                     KnownEvacuation{std::move(Changed), Now});
+  this->Cached = nullptr;
+}
+
+void DirectoryBuilder::onEvacuationListing(std::span<const Evacuation> All,
+                                           std::uint64_t AsOf, Instant Now) {
+  for (const Evacuation &Each : All) {
+    this->onEvacuation(Each, Now);
+  }
+  std::vector<Evacuation> Ended;
+  for (const auto &[Zone, Each] : this->Evacuations) {
+    const bool IsListed =
+        std::ranges::find(All, Zone, &Evacuation::AvailabilityZone) !=
+        All.end();
+    if (Each.Latest.IsActive && !IsListed && Each.Latest.Revision < AsOf) {
+      Ended.push_back({Zone, AsOf, false});
+    }
+  }
+  for (Evacuation &Each : Ended) {
+    this->onEvacuation(std::move(Each), Now);
+  }
+}
+
+void DirectoryBuilder::onPeerEvacuations(std::span<const Evacuation> All,
+                                         Instant Now) {
+  for (const Evacuation &Each : All) {
+    // One that is not known at the applied revision has ended before it.
+    const bool IsOlder = Each.Revision <= this->AppliedRevision &&
+                         !this->Evacuations.contains(Each.AvailabilityZone);
+    if (!IsOlder) {
+      this->onEvacuation(Each, Now);
+    }
+  }
+}
+
 void DirectoryBuilder::onRevision(std::uint64_t Applied) {
   this->AppliedRevision = std::max(this->AppliedRevision, Applied);
 }
@@ -233,6 +311,15 @@
 }
 
 void DirectoryBuilder::onTick(Instant Now) {
+  std::erase_if(this->Evacuations, [&](const auto &Each) {
+    const bool IsExpired =
+        !Each.second.Latest.IsActive &&
+        Now - Each.second.ChangedAt >= EndedEvacuationRetention;
+    if (IsExpired) {
+      this->Cached = nullptr;
+    }
+    return IsExpired;
+  });
   for (auto Each = this->Entries.begin(); Each != this->Entries.end();) {
     Entry &Existing = Each->second;
     if (Existing.ReregisterBy && Now >= *Existing.ReregisterBy) {
@@ -266,9 +353,14 @@
       if (Each.Listed.Registered < Newest[Each.Listed.Address]) {
         All.back().State = UpstreamState::Gone;
       }
+      All.back().IsEvacuated = this->isEvacuated(Each.Listed.AvailabilityZone);
+    }
+    std::vector<Evacuation> Evacuated;
+    for (const auto &[Zone, Each] : this->Evacuations) {
+      Evacuated.push_back(Each.Latest);
     }
-    this->Cached =
-        std::make_shared<const Directory>(this->Routes, All, this->Listing);
+    this->Cached = std::make_shared<const Directory>(
+        this->Routes, All, this->Listing, std::move(Evacuated));
   }
   return this->Cached;
 }
--- a/src/steer-actions.cc
+++ b/src/steer-actions.cc
@@ -16,7 +16,7 @@
     "flow_reset",        "wrong_service",       "agent_suspected",
     "agent_leaving",     "agent_regained",      "request_overdue",
     "load_expired",      "upstream_silent",     "upstream_answers",
-    "pause_noticed"};
+    "pause_noticed",     "refused_evacuated"};
 
 } // namespace
 
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -158,7 +158,7 @@
   appendCandidates(
       *this->InForce, Service, Key,
       [](const ListedUpstream &Each) {
-        return Each.State == UpstreamState::Ready;
+        return Each.State == UpstreamState::Ready && !Each.IsEvacuated;
       },
       [this](const ListedUpstream &Each) {
         return this->avoidance(Each.Address) == Avoidance::None
@@ -167,7 +167,13 @@
       },
       Order);
   if (Order.empty()) {
-    Out.emplace_back(record(Decision::RefusedNoUpstream, Key));
+    const bool IsEvacuated = std::ranges::any_of(
+        this->InForce->upstreams(Service), [](const ListedUpstream &Each) {
+          return Each.State == UpstreamState::Ready && Each.IsEvacuated;
+        });
+    Out.emplace_back(record(IsEvacuated ? Decision::RefusedEvacuated
+                                        : Decision::RefusedNoUpstream,
+                            Key));
     Out.emplace_back(RejectOpening{Key});
     return;
   }
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -333,18 +333,133 @@
   EXPECT_EQ(this->stateOf(2), UpstreamState::Ready);
 }
 
+/// What a balancer hears of the evacuation of one zone, and what holds then.
+struct EvacuationRow {
+  std::string Name;
+  void (*Steps)(DirectoryBuilder &, Instant);
+  bool IsActive = false;
+  std::uint64_t Revision = 0;
+};
+
+Evacuation evacuation(std::uint64_t Revision, bool IsActive = true) {
+  return {"z-1", Revision, IsActive, milliseconds(1)};
+}
+
+class EvacuationTest : public DirectoryBuilderTest,
+                       public testing::WithParamInterface<EvacuationRow> {};
+
+// Guards against a balancer with an older copy that misses an evacuation, ends
+// one or brings one back.
+TEST_P(EvacuationTest, NewestRevisionHolds) {
+  ListedUpstream InZone = upstream(1);
+  InZone.AvailabilityZone = "z-1";
+  this->Builder.onListing({InZone, upstream(2)}, this->Now);
+  GetParam().Steps(this->Builder, this->Now);
+  const auto InForce = this->Builder.current();
+  std::uint64_t Revision = 0;
+  for (const Evacuation &Each : InForce->evacuations()) {
+    EXPECT_EQ(Each.IsActive, GetParam().IsActive);
+    Revision = Each.Revision;
+  }
+  EXPECT_EQ(Revision, GetParam().Revision);
+  for (const ListedUpstream &Each : InForce->upstreams(OrderService)) {
+    // An upstream without a zone is never evacuated.
+    EXPECT_EQ(Each.IsEvacuated,
+              GetParam().IsActive && Each.Address == agentAddress(1));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, EvacuationTest,
+    testing::Values(
+        EvacuationRow{"began",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(5), Now);
+                      },
+                      true, 5},
+        EvacuationRow{"ended",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(5), Now);
+                        Of.onEvacuation(evacuation(6, false), Now);
+                      },
+                      false, 6},
+        EvacuationRow{"olderEnd",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(5), Now);
+                        Of.onEvacuation(evacuation(4, false), Now);
+                      },
+                      true, 5},
+        EvacuationRow{"listingWithoutIt",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(5), Now);
+                        Of.onEvacuationListing({}, 9, Now);
+                      },
+                      false, 9},
+        EvacuationRow{"begunAfterTheListing",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(10), Now);
+                        Of.onEvacuationListing({}, 9, Now);
+                      },
+                      true, 10},
+        EvacuationRow{"peerIsNewer",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onRevision(9);
+                        Of.onPeerEvacuations(std::array{evacuation(10)}, Now);
+                      },
+                      true, 10},
+        EvacuationRow{"peerHasOneThatEnded",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(10, false), Now);
+                        Of.onPeerEvacuations(std::array{evacuation(9)}, Now);
+                      },
+                      false, 10},
+        EvacuationRow{"peerHasOneThatEndedBeforeTheListing",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onRevision(9);
+                        Of.onPeerEvacuations(std::array{evacuation(5)}, Now);
+                      },
+                      false, 0},
+        EvacuationRow{"peerMissesIt",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(5), Now);
+                        Of.onPeerEvacuations({}, Now);
+                      },
+                      true, 5},
+        EvacuationRow{"zoneWithoutName",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation({"", 5, true}, Now);
+                      },
+                      false, 0},
+        EvacuationRow{"forgottenAfterItsEnd",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(6, false), Now);
+                        Of.onTick(Now + EndedEvacuationRetention);
+                      },
+                      false, 0},
+        EvacuationRow{"neverForgottenWhileItLasts",
+                      [](DirectoryBuilder &Of, Instant Now) {
+                        Of.onEvacuation(evacuation(6), Now);
+                        Of.onTick(Now + EndedEvacuationRetention);
+                      },
+                      true, 6}),
+    [](const auto &Info) { return Info.param.Name; });
+
 TEST(DirectoryExchangeTest, ParsedDirectoryEqualsTheOriginal) {
   std::vector<ListedUpstream> All = {upstream(1),
                                      upstream(2, UpstreamState::Draining),
                                      upstream(3, UpstreamState::Gone)};
   All[0].StartedAt = milliseconds(1'800'000'000'000);
   All[0].Revision = 16;
-  const Directory From(routes(9), All);
+  All[0].AvailabilityZone = "z-1";
+  const std::vector<Evacuation> Evacuations = {evacuation(5),
+                                               {"z-2", 6, false}};
+  const Directory From(routes(9), All, {}, Evacuations);
   const auto Parsed = readDirectory(writeDirectory(From, {true, 17}));
   ASSERT_TRUE(Parsed.has_value());
   EXPECT_TRUE(Parsed->Source.IsAvailable);
   EXPECT_EQ(Parsed->Source.Revision, 17U);
   EXPECT_EQ(Parsed->Routes.Version, 9U);
+  EXPECT_EQ(Parsed->Evacuations, Evacuations);
   EXPECT_EQ(Parsed->Routes.Routes, routes(9).Routes);
   // Upstreams that are gone are not serialized.
   EXPECT_EQ(Parsed->Upstreams, (std::vector<ListedUpstream>{All[0], All[1]}));
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -12,6 +12,11 @@
 using namespace samples;
 using std::chrono::milliseconds;
 
+ListedUpstream evacuated(ListedUpstream Each) {
+  Each.IsEvacuated = true;
+  return Each;
+}
+
 class SteeringTest : public testing::Test {
 protected:
   void SetUp() override { this->use({upstream(1), upstream(2), upstream(3)}); }
@@ -160,7 +165,24 @@
         RefusalRow{routes(), {}, Decision::RefusedNoUpstream},
         RefusalRow{routes(),
                    {upstream(1, UpstreamState::Draining)},
-                   Decision::RefusedNoUpstream}));
+                   Decision::RefusedNoUpstream},
+        RefusalRow{
+            routes(),
+            {evacuated(upstream(1)), upstream(2, UpstreamState::Draining)},
+            Decision::RefusedEvacuated}));
+
+// Guards against openings that reach an evacuated zone, and against open flows
+// that are not found there.
+TEST_F(SteeringTest, EvacuatedUpstreamsGetNoOpeningsButKeepTheirFlows) {
+  this->use({upstream(1), evacuated(upstream(2))});
+  const auto Opened = sent<Steer>(this->packet(opening(9)));
+  ASSERT_EQ(Opened.size(), 1U);
+  EXPECT_EQ(visited(Opened[0]), (std::multiset{agentAddress(1)}));
+  const auto Searched = sent<Steer>(this->packet(callerPacket(8, 1, true)));
+  ASSERT_EQ(Searched.size(), 1U);
+  EXPECT_EQ(visited(Searched[0]),
+            (std::multiset{agentAddress(1), agentAddress(2)}));
+}
 
 TEST_F(SteeringTest, PacketGoesToTheOwnerOfItsFlow) {
   (void)this->packet(opening(9));
--- a/test/store-feed-test.cc
+++ b/test/store-feed-test.cc
@@ -105,5 +105,69 @@
             [](Store &Server) { Server.setMode(StoreMode::Busy); }}),
     [](const auto &Info) { return Info.param.Name; });
 
+/// Changes of the store: the first one evacuates the upstream's zone, and each
+/// further one changes that.
+struct EvacuationRow {
+  std::string Name;
+  std::vector<void (*)(Store &)> Changes;
+};
+
+class EvacuationFeedTest : public testing::TestWithParam<EvacuationRow> {};
+
+// Guards against an evacuation, or its end, that a balancer does not learn from
+// the watch or from reading the whole store after its history was lost.
+TEST_P(EvacuationFeedTest, DirectoryFollowsTheKeyOfTheZone) {
+  Store Server{Address};
+  Server.put("op/config", configuration(7));
+  Server.put("servers/i-1", std::string(Entry));
+  SharedDirectory Directories;
+  BootSettings Settings;
+  Settings.Store = Address;
+  StoreFeed Feed(Settings, Directories);
+  const std::jthread Reader([&Feed](const std::stop_token &Stop) {
+    EXPECT_TRUE(Feed.run(Stop).has_value());
+  });
+  const auto IsEvacuated = [&Directories] {
+    const auto InForce = Directories.get();
+    const auto Upstreams = InForce == nullptr
+                               ? std::span<const ListedUpstream>()
+                               : InForce->upstreams(serviceId("orders"));
+    return !Upstreams.empty() && Upstreams[0].IsEvacuated;
+  };
+  bool Expected = false;
+  for (const auto &Change : GetParam().Changes) {
+    Change(Server);
+    Expected = !Expected;
+    for (int I = 0; I < 200 && IsEvacuated() != Expected; ++I) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    ASSERT_EQ(IsEvacuated(), Expected);
+  }
+}
+
+void evacuate(Store &Server) { Server.put("op/evacuate/z", "{}"); }
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, EvacuationFeedTest,
+    testing::Values(EvacuationRow{"keyWrittenRemovedAndWritten",
+                                  {evacuate,
+                                   [](Store &Server) {
+                                     Server.remove("op/evacuate/z");
+                                   },
+                                   evacuate}},
+                    EvacuationRow{"valueIsNotJson", {[](Store &Server) {
+                                    Server.put("op/evacuate/z", "\xFF");
+                                  }}},
+                    EvacuationRow{"historyLost",
+                                  {[](Store &Server) {
+                                     evacuate(Server);
+                                     Server.dropHistory();
+                                   },
+                                   [](Store &Server) {
+                                     Server.remove("op/evacuate/z");
+                                     Server.dropHistory();
+                                   }}}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace mulberryhoist::platform
