Tell agents when their upstreams take no new flows

Change: balancers notify the agent of a draining or evacuated upstream at once, after 200 ms and then each second (`IntakeNotice`, ordered by the revision of the source), and three times at the end. Without a notice for 3.5 s the agent takes new flows again. While the intake is closed, an agent passes openings on and gives back those that it holds (`Displaced`); their balancer places them anew once, with the time that they have waited, and an agent that gets one of these refuses it if no candidate is left. A repeated opening that no upstream has answered leaves the zone, too. Flows that an upstream has accepted stay.

Without an evacuation or a drain no message is sent.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -117,6 +117,18 @@
   friend bool operator==(const Evacuation &, const Evacuation &) = default;
 };
 
+/// Whether the upstream beside an agent takes new flows, as of a revision of
+/// the source: it does not while it drains or its zone is evacuated.
+struct UpstreamIntake {
+  std::uint32_t Agent = 0;
+  ServiceId Service;
+  std::uint64_t Revision = 0;
+  bool IsClosed = false;
+
+  friend bool operator==(const UpstreamIntake &,
+                         const UpstreamIntake &) = default;
+};
+
 /// Identifies the routes and upstreams of a directory. A search has covered all
 /// upstreams that may hold its flow if the edition has not changed since.
 struct DirectoryEdition {
@@ -190,6 +202,9 @@
   /// Returns the evacuations that are active or ended a short time ago.
   std::span<const Evacuation> evacuations() const { return this->Evacuations; }
 
+  /// Returns the intake of all upstreams that are not gone.
+  std::vector<UpstreamIntake> intakes() const;
+
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -51,10 +51,15 @@
   UpstreamAnswers,    ///< The upstream answers again.
   PauseNoticed,       ///< The process was paused.
   RefusedEvacuated,   ///< All ready upstreams are in evacuated zones.
+  IntakeClosed,       ///< The upstream takes no new flows: it drains, or its
+                      ///< zone is evacuated.
+  IntakeOpened,       ///< The upstream takes new flows again.
+  OpeningTurnedAway,  ///< Passed on or given back: the intake is closed.
+  OpeningDisplaced,   ///< An agent gave the opening back; placed anew.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 32;
+inline constexpr std::size_t DecisionCount = 36;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -93,6 +93,10 @@
   std::uint32_t Hops = 0;
   /// The balancer's number of the search that the message is part of, or 0.
   std::uint32_t Search = 0;
+  /// An agent whose upstream takes no new flows has given the opening back.
+  bool Displaced = false;
+  /// How long the opening was held before that.
+  std::chrono::milliseconds Waited{0};
 };
 
 /// Notifies a balancer that the sender is the owner of a flow or holds its
@@ -118,6 +122,21 @@
   std::uint32_t Search = 0;
 };
 
+/// Returns an opening to the balancer that sent it, because the upstream takes
+/// no new flows any more, and carries its packet.
+struct Displaced {
+  /// How long the opening was held.
+  std::chrono::milliseconds Waited{0};
+};
+
+/// Notifies an agent whether its upstream takes new flows.
+struct IntakeNotice {
+  ServiceId Service;
+  /// The revision of the source that decided it; a greater one is newer.
+  std::uint64_t Revision = 0;
+  bool IsClosed = false;
+};
+
 /// Checks whether an agent is alive.
 struct Check {
   std::uint64_t Sequence = 0;
@@ -130,8 +149,8 @@
 };
 
 /// Any message of the steered path.
-using SteerMessage =
-    std::variant<Steer, Taken, Refused, NotHeld, Check, CheckReply>;
+using SteerMessage = std::variant<Steer, Taken, Refused, NotHeld, Check,
+                                  CheckReply, IntakeNotice, Displaced>;
 
 /// A decoded datagram; `Packet` points into the decoded bytes.
 struct SteerDatagram {
--- a/include/mulberryhoist/steering-agent-data.h
+++ b/include/mulberryhoist/steering-agent-data.h
@@ -64,6 +64,8 @@
       this->OverdueGauge.Set(Logic.overdueCount());
       this->FlowGauge.Set(static_cast<double>(Logic.flowCount()));
       this->ServiceTimeGauge.Set(toSeconds(Logic.serviceTime()));
+      this->ClosedGauge.Set(Logic.intake().isClosed() ? 1 : 0);
+      this->IntakeRevision = Logic.intake().revision();
       if (Logic.isDrained(Now)) {
         this->Drained = true;
       }
@@ -93,6 +95,8 @@
                      {"overdue", this->OverdueGauge.Value()},
                      {"flows", this->FlowGauge.Value()},
                      {"service_time_s", this->ServiceTimeGauge.Value()},
+                     {"intake_closed", this->ClosedGauge.Value() != 0},
+                     {"intake_revision", this->IntakeRevision.load()},
                      {"stopping", this->Terminating.load()}});
   }
 
@@ -116,6 +120,8 @@
         ServiceTimeGauge(
             makeGauge(Metrics, "service_time_seconds",
                       "Estimated mean time of a request in its slot")),
+        ClosedGauge(makeGauge(Metrics, "intake_closed",
+                              "1 while the upstream takes no new flows")),
         Peers(std::move(Peers)), FromUpstream(std::move(FromUpstream)),
         Output(this->Peers, Settings.CallerPort, this->Decisions, this->Errors),
         Service(Settings.Service), Upstream(Settings.Upstream) {}
@@ -164,6 +170,10 @@
       Logic.onCheck(From, *Request, Out);
       return;
     }
+    if (const auto *Notice = std::get_if<IntakeNotice>(&Input.Body)) {
+      Logic.onIntake(*Notice, Now, Out);
+      return;
+    }
     const auto *Header = std::get_if<Steer>(&Input.Body);
     if (Header == nullptr) {
       this->Output.report(
@@ -187,10 +197,12 @@
   prometheus::Gauge &OverdueGauge;
   prometheus::Gauge &FlowGauge;
   prometheus::Gauge &ServiceTimeGauge;
+  prometheus::Gauge &ClosedGauge;
   DatagramSocket Peers;
   DatagramSocket FromUpstream;
   SteerOutput<Format> Output;
   SteerCodec Codec;
+  std::atomic<std::uint64_t> IntakeRevision{0};
   std::atomic<ServiceId> Service;
   std::atomic<Endpoint> Upstream;
   std::atomic<bool> Terminating{false};
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mulberryhoist/intake.h"
 #include "mulberryhoist/opening-queue.h"
 #include "mulberryhoist/packet-format.h"
 #include "mulberryhoist/request-tracker.h"
@@ -97,6 +98,10 @@
   /// Replies to a balancer's liveness check.
   void onCheck(Endpoint From, const Check &Body, SteerActionList &Out);
 
+  /// Handles a balancer's notice whether the upstream takes new flows; while it
+  /// does not, openings are passed on and held ones are given back.
+  void onIntake(const IntakeNotice &Body, Instant Now, SteerActionList &Out);
+
   /// Handles a packet that the upstream sent or returned.
   void onUpstreamPacket(const RoutedPacket &Packet, Instant Now,
                         SteerActionList &Out);
@@ -124,6 +129,8 @@
 
   std::size_t flowCount() const { return this->Flows.size(); }
 
+  const IntakeState &intake() const { return this->Intake; }
+
   /// Returns the number of requests that count as load for longer than the
   /// estimated service time explains.
   std::uint32_t overdueCount() const { return this->Overdue; }
@@ -175,6 +182,14 @@
   void hold(const Steer &Header, const RoutedPacket &Packet, Instant Now,
             SteerActionList &Out);
   void serveHeldOpenings(Instant Now, SteerActionList &Out);
+  /// Sends an opening to other agents, or back to its balancer, or refuses it
+  /// if it has been given back before: the intake is closed.
+  void turnAway(const Steer &Header, const RoutedPacket &Packet,
+                SteerActionList &Out);
+  void giveBack(const Steer &Header, const FlowIncarnation &Flow,
+                Duration Waited, PacketBytes Bytes, SteerActionList &Out);
+  void giveBackHeldOpenings(Instant Now, SteerActionList &Out);
+  void recordIntakeChange(bool WasClosed, SteerActionList &Out) const;
   void refuse(const Steer &Header, const FlowIncarnation &Flow,
               Duration HeldFor, SteerActionList &Out);
   /// Returns the load by which agents are compared: requests at the upstream
@@ -217,6 +232,7 @@
   /// Ordered by time, oldest first.
   std::deque<AwaitedRequest> Awaited;
   OpeningQueue HeldOpenings;
+  IntakeState Intake;
   /// The bytes of held openings that the last event forwarded; the actions of
   /// that event refer to them.
   std::vector<std::vector<std::uint8_t>> ReleasedBytes;
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -151,6 +151,13 @@
         return;
       }
       Logic.onNotHeld(From, *Returned, *Packet, Now, Out);
+    } else if (const auto *GivenBack = std::get_if<Displaced>(&Body)) {
+      const auto Packet = Format::parse(Input.Packet);
+      if (!Packet) {
+        this->Output.report(Packet.error(), Now);
+        return;
+      }
+      Logic.onDisplaced(From, *GivenBack, *Packet, Now, Out);
     } else if (const auto *Reply = std::get_if<CheckReply>(&Body)) {
       Logic.onCheckReply(From, *Reply, Now, Out);
     } else {
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "mulberryhoist/directory.h"
+#include "mulberryhoist/intake.h"
 #include "mulberryhoist/packet-format.h"
 #include "mulberryhoist/steer-actions.h"
 
@@ -145,6 +146,12 @@
   void onNotHeld(Endpoint From, const NotHeld &Body, const RoutedPacket &Packet,
                  Instant Now, SteerActionList &Out);
 
+  /// Handles an opening that an agent gave back because its upstream takes no
+  /// new flows: sends it to other agents or refuses it.
+  void onDisplaced(Endpoint From, const Displaced &Body,
+                   const RoutedPacket &Packet, Instant Now,
+                   SteerActionList &Out);
+
   /// Returns whether flows without holder wait for a confirmation.
   bool awaitsConfirmation() const { return !this->FlowsNotHeld.empty(); }
 
@@ -244,7 +251,13 @@
 
   using OwnerMap = std::unordered_map<FlowKey, FlowOwners>;
 
-  void onOpening(const RoutedPacket &Packet, Instant Now, SteerActionList &Out);
+  /// `Displaced` is set if an agent gave the opening back.
+  void onOpening(const RoutedPacket &Packet,
+                 const std::optional<Displaced> &Returned, Instant Now,
+                 SteerActionList &Out);
+  /// Returns whether the upstream of the flow's owner has not answered yet and
+  /// takes no new flows.
+  bool isUnansweredAtClosed(const FlowOwners &Owners) const;
   void onFlowPacket(const RoutedPacket &Packet, Instant Now,
                     SteerActionList &Out);
   void locateOwner(const RoutedPacket &Packet, Instant Now,
@@ -313,6 +326,7 @@
   std::unordered_map<FlowKey, FlowNotHeld> FlowsNotHeld;
   bool NeedsConfirmation = false;
   std::unordered_map<std::uint32_t, AgentHealth> Agents;
+  IntakeAnnouncer Intakes;
   std::optional<Instant> NextCheckAt;
   std::optional<Instant> LastTickAt;
   std::uint64_t NextCheckSequence = 1;
--- a/src/decision-log.cc
+++ b/src/decision-log.cc
@@ -39,12 +39,16 @@
   case Decision::UpstreamSilent:
   case Decision::UpstreamAnswers:
   case Decision::PauseNoticed:
+  case Decision::IntakeClosed:
+  case Decision::IntakeOpened:
     return LineKind::StateChange;
   case Decision::OpeningResent:
   case Decision::OpeningPassedOn:
   case Decision::OpeningReturned:
   case Decision::PacketReturned:
   case Decision::OwnerSought:
+  case Decision::OpeningTurnedAway:
+  case Decision::OpeningDisplaced:
     return LineKind::Step;
   default:
     return LineKind::Outcome;
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -71,6 +71,26 @@
   return Found->second;
 }
 
+std::vector<UpstreamIntake> Directory::intakes() const {
+  std::vector<UpstreamIntake> All;
+  this->forEachUpstream([&](const ListedUpstream &Each) {
+    if (Each.State == UpstreamState::Gone) {
+      return;
+    }
+    UpstreamIntake Intake = {Each.Address, Each.Service, Each.Revision,
+                             Each.IsEvacuated ||
+                                 Each.State == UpstreamState::Draining};
+    const auto Zone =
+        std::ranges::find(this->Evacuations, Each.AvailabilityZone,
+                          &Evacuation::AvailabilityZone);
+    if (Zone != this->Evacuations.end()) {
+      Intake.Revision = std::max(Intake.Revision, Zone->Revision);
+    }
+    All.push_back(Intake);
+  });
+  return All;
+}
+
 void DirectoryBuilder::keepFormerTargets(RouteSet &Next, Instant Now) const {
   std::unordered_map<Endpoint, const Route *> Current;
   for (const Route &Each : this->Routes.Routes) {
--- a/src/steer-actions.cc
+++ b/src/steer-actions.cc
@@ -16,7 +16,8 @@
     "flow_reset",        "wrong_service",       "agent_suspected",
     "agent_leaving",     "agent_regained",      "request_overdue",
     "load_expired",      "upstream_silent",     "upstream_answers",
-    "pause_noticed",     "refused_evacuated"};
+    "pause_noticed",     "refused_evacuated",   "intake_closed",
+    "intake_opened",     "opening_turned_away", "opening_displaced"};
 
 } // namespace
 
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -30,6 +30,8 @@
   To.set_least_load(From.LeastLoad);
   To.set_hops(From.Hops);
   To.set_search(From.Search);
+  To.set_displaced(From.Displaced);
+  To.set_waited_ms(static_cast<std::uint32_t>(From.Waited.count()));
 }
 
 void write(const Taken &From, proto::SteerEnvelope &Envelope) {
@@ -48,6 +50,18 @@
   Envelope.mutable_not_held()->set_search(From.Search);
 }
 
+void write(const Displaced &From, proto::SteerEnvelope &Envelope) {
+  Envelope.mutable_displaced()->set_waited_ms(
+      static_cast<std::uint32_t>(From.Waited.count()));
+}
+
+void write(const IntakeNotice &From, proto::SteerEnvelope &Envelope) {
+  proto::IntakeNotice &To = *Envelope.mutable_intake_notice();
+  To.set_service(From.Service.Value);
+  To.set_revision(From.Revision);
+  To.set_closed(From.IsClosed);
+}
+
 void write(const Check &From, proto::SteerEnvelope &Envelope) {
   Envelope.mutable_check()->set_sequence(From.Sequence);
 }
@@ -91,6 +105,8 @@
   To.LeastLoad = From.least_load();
   To.Hops = From.hops();
   To.Search = From.search();
+  To.Displaced = From.displaced();
+  To.Waited = std::chrono::milliseconds(From.waited_ms());
   return To;
 }
 
@@ -107,8 +123,17 @@
   return Flow ? std::optional<SteerMessage>(Refused{*Flow}) : std::nullopt;
 }
 
-/// The schema of the steered path's envelopes; `Steer` and
-/// `NotHeld` carry a packet.
+std::optional<SteerMessage> read(const proto::IntakeNotice &From) {
+  // The greatest number stands for an unknown revision in directories; a notice
+  // with it could not be replaced by a newer one.
+  if (From.revision() == std::numeric_limits<std::uint64_t>::max()) {
+    return std::nullopt;
+  }
+  return IntakeNotice{{From.service()}, From.revision(), From.closed()};
+}
+
+/// The schema of the steered path's envelopes; `Steer`, `NotHeld` and
+/// `Displaced` carry a packet.
 struct Schema {
   using Typed = SteerMessage;
   using Envelope = proto::SteerEnvelope;
@@ -127,6 +152,10 @@
       return read(From.refused());
     case Envelope::kNotHeld:
       return NotHeld{From.not_held().search()};
+    case Envelope::kDisplaced:
+      return Displaced{std::chrono::milliseconds(From.displaced().waited_ms())};
+    case Envelope::kIntakeNotice:
+      return read(From.intake_notice());
     case Envelope::kCheck:
       return Check{From.check().sequence()};
     case Envelope::kCheckReply:
@@ -140,7 +169,8 @@
 
   static bool hasPacket(const SteerMessage &Body) {
     return std::holds_alternative<Steer>(Body) ||
-           std::holds_alternative<NotHeld>(Body);
+           std::holds_alternative<NotHeld>(Body) ||
+           std::holds_alternative<Displaced>(Body);
   }
 };
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -66,6 +66,80 @@
       SendSteer{From, CheckReply{Body.Sequence, this->isLeaving()}, {}});
 }
 
+void SteeringAgentLogic::recordIntakeChange(bool WasClosed,
+                                            SteerActionList &Out) const {
+  if (WasClosed == this->Intake.isClosed()) {
+    return;
+  }
+  RecordDecision Record;
+  Record.Kind = WasClosed ? Decision::IntakeOpened : Decision::IntakeClosed;
+  Record.Agent = this->Settings.Address;
+  Record.Load = this->Load;
+  Out.emplace_back(Record);
+}
+
+void SteeringAgentLogic::onIntake(const IntakeNotice &Body, Instant Now,
+                                  SteerActionList &Out) {
+  // A notice about the former upstream at this address says nothing about the
+  // present one.
+  if (Body.Service != this->Settings.Service) {
+    return;
+  }
+  const bool WasClosed = this->Intake.isClosed();
+  this->Intake.onNotice(Body, Now);
+  this->recordIntakeChange(WasClosed, Out);
+  this->ReleasedBytes.clear();
+  if (this->Intake.isClosed()) {
+    this->giveBackHeldOpenings(Now, Out);
+  }
+}
+
+void SteeringAgentLogic::turnAway(const Steer &Header,
+                                  const RoutedPacket &Packet,
+                                  SteerActionList &Out) {
+  const FlowIncarnation Flow = {Packet.View.callerFlow(), Packet.View.Sequence};
+  Out.emplace_back(this->record(Decision::OpeningTurnedAway, Flow.Key, Header));
+  Steer NextHeader = Header;
+  NextHeader.Final = false;
+  const bool HasLeastLoaded =
+      !Header.Final && Header.LeastLoaded.Agent != 0 &&
+      Header.LeastLoaded.Agent != this->Settings.Address;
+  if (Header.Next.empty() && HasLeastLoaded) {
+    (void)NextHeader.Next.add(Header.LeastLoaded);
+    NextHeader.Final = true;
+  }
+  if (!NextHeader.Next.empty()) {
+    this->forwardToNext(NextHeader, Packet, Out);
+    return;
+  }
+  this->giveBack(Header, Flow, std::max<Duration>(Packet.Waited, Header.Waited),
+                 Packet.Bytes, Out);
+}
+
+void SteeringAgentLogic::giveBack(const Steer &Header,
+                                  const FlowIncarnation &Flow, Duration Waited,
+                                  PacketBytes Bytes, SteerActionList &Out) {
+  if (Header.Displaced) {
+    this->refuse(Header, Flow, Waited, Out);
+    return;
+  }
+  const auto WaitedMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Waited);
+  Out.emplace_back(SendSteer{
+      {Header.Balancer, this->Settings.PeerPort}, Displaced{WaitedMs}, Bytes});
+}
+
+void SteeringAgentLogic::giveBackHeldOpenings(Instant Now,
+                                              SteerActionList &Out) {
+  while (auto Held = this->HeldOpenings.takeExpired(Instant::max())) {
+    Out.emplace_back(this->record(Decision::OpeningTurnedAway, Held->Flow.Key,
+                                  Held->Header));
+    this->ReleasedBytes.push_back(std::move(Held->Bytes));
+    this->giveBack(Held->Header, Held->Flow, Now - Held->StartedAt,
+                   this->ReleasedBytes.back(), Out);
+  }
+}
+
 void SteeringAgentLogic::addBalancer(std::uint32_t Balancer) {
   if (!this->Balancers.contains(Balancer)) {
     // If the list is full, some balancers notice the stop later.
@@ -78,7 +152,8 @@
                                    SteerActionList &Out) {
   const auto Found = this->Flows.find(Packet.View.callerFlow());
   if (Found != this->Flows.end() &&
-      Found->second.Initial == Packet.View.Sequence) {
+      Found->second.Initial == Packet.View.Sequence &&
+      (Found->second.UpstreamSequence || !this->Intake.isClosed())) {
     // The caller retransmits because the upstream's response was lost; the
     // upstream sends it again.
     Found->second.Notify = true;
@@ -91,6 +166,10 @@
           {Packet.View.callerFlow(), Packet.View.Sequence})) {
     return;
   }
+  if (this->Intake.isClosed()) {
+    this->turnAway(Header, Packet, Out);
+    return;
+  }
   this->detectSilentUpstream(Now, Out);
   if (this->mustForwardToNext(Header, Now)) {
     this->forwardToNext(Header, Packet, Out);
@@ -162,8 +241,9 @@
     }
   }
   const FlowIncarnation Flow = {Packet.View.callerFlow(), Packet.View.Sequence};
-  switch (this->HeldOpenings.place(Header, Packet.Waited,
-                                   this->upstreamLoad(Header.Slots), Now)) {
+  switch (this->HeldOpenings.place(
+      Header, std::max<Duration>(Packet.Waited, Header.Waited),
+      this->upstreamLoad(Header.Slots), Now)) {
   case OpeningQueue::Placement::Take:
     this->take(Header, Flow, Packet.Bytes, Now, Out);
     return;
@@ -195,7 +275,7 @@
   Opening.Bytes.assign(Packet.Bytes.begin(), Packet.Bytes.end());
   Opening.Header = Header;
   Opening.HeldSince = Now;
-  Opening.StartedAt = Now - Packet.Waited;
+  Opening.StartedAt = Now - std::max<Duration>(Packet.Waited, Header.Waited);
   Opening.ExpiresAt =
       Opening.StartedAt + holdLimit(Header, this->upstreamLoad(Header.Slots));
   Out.emplace_back(
@@ -508,6 +588,7 @@
   this->Flows.clear();
   this->Awaited.clear();
   this->HeldOpenings.clear();
+  this->Intake = {};
   this->Load = 0;
   this->Overdue = 0;
   this->ServiceTime = {};
@@ -530,6 +611,9 @@
 
 void SteeringAgentLogic::onTick(Instant Now, SteerActionList &Out) {
   this->ReleasedBytes.clear();
+  const bool WasClosed = this->Intake.isClosed();
+  this->Intake.onTick(Now);
+  this->recordIntakeChange(WasClosed, Out);
   this->expireOpenings(Now);
   this->serveHeldOpenings(Now, Out);
   if (Now < this->NextSweep) {
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -110,6 +110,7 @@
   std::erase_if(this->Agents, [this](const auto &Each) {
     return !this->InForce->knowsAgent(Each.first);
   });
+  this->Intakes.onDirectory(*this->InForce);
 }
 
 void SteeringLogic::onCallerPacket(const RoutedPacket &Packet, Instant Now,
@@ -118,7 +119,7 @@
     return;
   }
   if (Packet.View.isOpening()) {
-    this->onOpening(Packet, Now, Out);
+    this->onOpening(Packet, std::nullopt, Now, Out);
   } else {
     this->onFlowPacket(Packet, Now, Out);
   }
@@ -129,8 +130,36 @@
   Out.emplace_back(SendSteer{{Agent, this->Settings.PeerPort}, Header, Bytes});
 }
 
-void SteeringLogic::onOpening(const RoutedPacket &Packet, Instant Now,
-                              SteerActionList &Out) {
+bool SteeringLogic::isUnansweredAtClosed(const FlowOwners &Owners) const {
+  return Owners.First.Sequence == 0 && Owners.Second.Agent == 0 &&
+         this->Intakes.isClosed(Owners.First.Agent);
+}
+
+void SteeringLogic::onDisplaced(Endpoint From, const Displaced &Body,
+                                const RoutedPacket &Packet, Instant Now,
+                                SteerActionList &Out) {
+  if (this->InForce == nullptr || !Packet.View.isOpening()) {
+    return;
+  }
+  const FlowKey Key = Packet.View.callerFlow();
+  const FlowOwners *Owners = this->findOwners(Key);
+  if (Owners != nullptr && Owners->Initial == Packet.View.Sequence) {
+    if (Owners->First.Agent != From.Address || Owners->First.Sequence != 0 ||
+        Owners->Second.Agent != 0) {
+      // Another agent has the opening.
+      return;
+    }
+    this->RecentOwners.erase(Key);
+  }
+  RecordDecision Record = record(Decision::OpeningDisplaced, Key, From.Address);
+  Record.Age = Body.Waited;
+  Out.emplace_back(Record);
+  this->onOpening(Packet, Body, Now, Out);
+}
+
+void SteeringLogic::onOpening(const RoutedPacket &Packet,
+                              const std::optional<Displaced> &Returned,
+                              Instant Now, SteerActionList &Out) {
   const FlowKey Key = Packet.View.callerFlow();
   const Route *Matched = this->InForce->findRoute(Key.Service);
   if (Matched == nullptr) {
@@ -146,8 +175,13 @@
   Header.Goal = Matched->Goal;
   Header.Timeout = Matched->Timeout;
   Header.Class = Matched->Class;
+  if (Returned) {
+    Header.Displaced = true;
+    Header.Waited = Returned->Waited;
+  }
   if (const FlowOwners *Owners = this->findOwners(Key);
-      Owners != nullptr && Owners->Initial == Packet.View.Sequence) {
+      Owners != nullptr && Owners->Initial == Packet.View.Sequence &&
+      !this->isUnansweredAtClosed(*Owners)) {
     Header.Final = true;
     Out.emplace_back(
         record(Decision::OpeningRepeated, Key, Owners->First.Agent));
@@ -670,6 +704,10 @@
 
 void SteeringLogic::resend(UnansweredOpening &Each, const FlowKey &Key,
                            Instant Now, SteerActionList &Out) {
+  // The caller's retransmission is placed anew.
+  if (this->Intakes.isClosed(Each.First.Agent)) {
+    return;
+  }
   // Visits the candidates in reverse, so that the agent that lost the opening
   // comes late.
   Steer Header = Each.Header;
@@ -771,10 +809,14 @@
   this->resendOverdue(Now, Out);
   this->processChecks(Now, Out);
   this->processSearches(Now, Out);
+  this->Intakes.onTick(this->Settings.PeerPort, Now, Out);
 }
 
 std::optional<Instant> SteeringLogic::nextDue() const {
   std::optional<Instant> Next = this->NextCheckAt;
+  if (const auto At = this->Intakes.nextDue()) {
+    Next = Next ? std::min(*Next, *At) : At;
+  }
   if (!this->ResendQueue.empty()) {
     const Instant At = this->ResendQueue.front().At;
     Next = Next ? std::min(*Next, At) : At;
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -444,6 +444,24 @@
                       true, 6}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against an agent that keeps the state of an older revision: a change
+// of the upstream or of its zone is newer than what it was told before.
+TEST_F(DirectoryBuilderTest, IntakeHasTheRevisionThatDecidedIt) {
+  ListedUpstream InZone = atRevision(upstream(1, UpstreamState::Draining), 7);
+  InZone.AvailabilityZone = "z-1";
+  this->Builder.onListing({InZone}, this->Now);
+  EXPECT_EQ(
+      this->Builder.current()->intakes(),
+      (std::vector<UpstreamIntake>{{agentAddress(1), OrderService, 7, true}}));
+  InZone.State = UpstreamState::Ready;
+  this->Builder.onUpstream(InZone);
+  this->Builder.onEvacuation(evacuation(9), this->Now);
+  this->Builder.onEvacuation(evacuation(11, false), this->Now);
+  EXPECT_EQ(this->Builder.current()->intakes(),
+            (std::vector<UpstreamIntake>{
+                {agentAddress(1), OrderService, 11, false}}));
+}
+
 TEST(DirectoryExchangeTest, ParsedDirectoryEqualsTheOriginal) {
   std::vector<ListedUpstream> All = {upstream(1),
                                      upstream(2, UpstreamState::Draining),
--- a/test/steer-wire-test.cc
+++ b/test/steer-wire-test.cc
@@ -27,6 +27,8 @@
   Header.LeastLoad = 9;
   Header.Hops = 5;
   Header.Search = 0xFFFFFFFFU;
+  Header.Displaced = true;
+  Header.Waited = milliseconds(1400);
   return Header;
 }
 
@@ -53,6 +55,8 @@
   EXPECT_EQ(To.LeastLoad, From.LeastLoad);
   EXPECT_EQ(To.Hops, From.Hops);
   EXPECT_EQ(To.Search, From.Search);
+  EXPECT_TRUE(To.Displaced);
+  EXPECT_EQ(To.Waited, From.Waited);
   EXPECT_EQ(Decoded->Packet.size(), anyBytes().size());
 }
 
@@ -90,6 +94,35 @@
   EXPECT_TRUE(std::ranges::equal(Decoded->Packet, anyBytes()));
 }
 
+// Guards against a notice that no newer one could replace.
+TEST(SteerWireTest, IntakeNoticeKeepsItsFieldsAndHasAKnownRevision) {
+  constexpr auto Unknown = std::numeric_limits<std::uint64_t>::max();
+  for (const std::uint64_t Revision : {Unknown - 1, Unknown}) {
+    SteerCodec Codec;
+    const auto Encoded =
+        Codec.encode(IntakeNotice{OrderService, Revision, true});
+    const std::vector<std::uint8_t> Bytes(Encoded->begin(), Encoded->end());
+    const auto Decoded = Codec.decode(Bytes);
+    ASSERT_EQ(Decoded.has_value(), Revision != Unknown);
+    if (Decoded) {
+      const auto &To = std::get<IntakeNotice>(Decoded->Body);
+      EXPECT_EQ(To.Service, OrderService);
+      EXPECT_EQ(To.Revision, Revision);
+      EXPECT_TRUE(To.IsClosed);
+    }
+  }
+}
+
+TEST(SteerWireTest, DisplacedKeepsItsTimeAndPacket) {
+  SteerCodec Codec;
+  const auto Encoded = Codec.encode(Displaced{milliseconds(70)}, anyBytes());
+  const std::vector<std::uint8_t> Bytes(Encoded->begin(), Encoded->end());
+  const auto Decoded = Codec.decode(Bytes);
+  ASSERT_TRUE(Decoded.has_value());
+  EXPECT_EQ(std::get<Displaced>(Decoded->Body).Waited, milliseconds(70));
+  EXPECT_TRUE(std::ranges::equal(Decoded->Packet, anyBytes()));
+}
+
 // Guards against crashes by malformed datagrams from arbitrary senders.
 TEST(SteerWireTest, EveryTruncationIsATypedError) {
   SteerCodec Codec;
--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -483,5 +483,113 @@
       1U);
 }
 
+/// Notices that an agent gets, and whether its intake is closed then.
+struct IntakeRow {
+  std::string Name;
+  std::vector<IntakeNotice> Notices;
+  bool IsClosed = false;
+  Duration Passed{};
+};
+
+class IntakeTest : public SteeringAgentTest,
+                   public testing::WithParamInterface<IntakeRow> {
+protected:
+  SteerActionList notify(const IntakeNotice &Notice) {
+    SteerActionList Out;
+    this->Agent.onIntake(Notice, this->Now, Out);
+    return Out;
+  }
+};
+
+// Guards against openings that reach a draining or evacuated upstream through a
+// balancer that does not know it, and against an upstream that gets none for
+// good because of an outdated balancer.
+TEST_P(IntakeTest, NewestNoticeDecidesUntilItExpires) {
+  for (const IntakeNotice &Each : GetParam().Notices) {
+    (void)this->notify(Each);
+  }
+  this->Now += GetParam().Passed;
+  SteerActionList Ignored;
+  this->Agent.onTick(this->Now, Ignored);
+  const auto Out = this->steer(header({2}), opening(9));
+  EXPECT_EQ(only<ForwardToUpstream>(Out).empty(), GetParam().IsClosed);
+  EXPECT_EQ(sent<Steer>(Out).size(), GetParam().IsClosed ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, IntakeTest,
+    testing::Values(
+        IntakeRow{"closed", {{OrderService, 5, true}}, true},
+        IntakeRow{"opened",
+                  {{OrderService, 5, true}, {OrderService, 6, false}}},
+        IntakeRow{"olderClosure",
+                  {{OrderService, 6, false}, {OrderService, 5, true}}},
+        IntakeRow{"olderOpening",
+                  {{OrderService, 6, true}, {OrderService, 5, false}},
+                  true},
+        IntakeRow{"sameRevision",
+                  {{OrderService, 6, true}, {OrderService, 6, false}},
+                  true},
+        IntakeRow{"otherService", {{TemplateService, 5, true}}},
+        IntakeRow{
+            "notRepeated", {{OrderService, 5, true}}, false, IntakeLifetime},
+        IntakeRow{"notYetRepeated",
+                  {{OrderService, 5, true}},
+                  true,
+                  IntakeLifetime - milliseconds(1)}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against held openings that reach the upstream after it began to drain
+// or its zone was evacuated (review case 5), and against a loop between agents
+// and a balancer that does not know it.
+TEST_F(SteeringAgentTest, ClosedIntakeGivesOpeningsBackOnce) {
+  this->fillSlots();
+  Steer Again = header();
+  Again.Displaced = true;
+  for (const auto &[Port, Header] :
+       {std::pair<std::uint16_t, Steer>(9, header()), {10, Again}}) {
+    for (std::uint16_t Each = 0; Each < 4; ++Each) {
+      (void)this->steer(Header,
+                        opening(static_cast<std::uint16_t>(Port + 10 * Each)));
+    }
+  }
+  this->Now += milliseconds(30);
+  SteerActionList Out;
+  this->Agent.onIntake({OrderService, 5, true}, this->Now, Out);
+  EXPECT_TRUE(decided(Out, Decision::IntakeClosed));
+  const auto Given = sent<Displaced>(Out);
+  ASSERT_FALSE(Given.empty());
+  EXPECT_EQ(Given[0].first, BalancerAddress);
+  EXPECT_EQ(Given[0].second.Waited, milliseconds(30));
+  EXPECT_EQ(only<RejectOpening>(Out).size(), sent<Refused>(Out).size());
+  EXPECT_FALSE(sent<Refused>(Out).empty());
+  EXPECT_TRUE(only<ForwardToUpstream>(Out).empty());
+  // A slot that becomes free changes nothing, and neither do new openings.
+  EXPECT_TRUE(
+      only<ForwardToUpstream>(this->fromUpstream(answer(1, false))).empty());
+  EXPECT_EQ(sent<Displaced>(this->steer(header(), opening(90))).size(), 1U);
+  EXPECT_EQ(sent<Refused>(this->steer(Again, opening(91))).size(), 1U);
+  // Flows that the upstream has accepted stay.
+  EXPECT_EQ(only<ForwardToUpstream>(this->steer(header(), opening(1))).size(),
+            1U);
+  EXPECT_EQ(only<ForwardToUpstream>(
+                this->steer(header(), callerPacket(1, 5002, true)))
+                .size(),
+            1U);
+}
+
+// Guards against an opening that a closed agent refuses although another one
+// has room for it.
+TEST_F(SteeringAgentTest, ClosedLastCandidateSendsTheOpeningToTheLeastLoaded) {
+  SteerActionList Ignored;
+  this->Agent.onIntake({OrderService, 5, true}, this->Now, Ignored);
+  Steer Last = header();
+  Last.LeastLoaded = {agentAddress(7), 8};
+  const auto ToNext = sent<Steer>(this->steer(Last, opening(9)));
+  ASSERT_EQ(ToNext.size(), 1U);
+  EXPECT_EQ(ToNext[0].first, agentAddress(7));
+  EXPECT_TRUE(ToNext[0].second.Final);
+}
+
 } // namespace
 } // namespace mulberryhoist
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -11,6 +11,7 @@
 
 using namespace samples;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 ListedUpstream evacuated(ListedUpstream Each) {
   Each.IsEvacuated = true;
@@ -184,6 +185,106 @@
             (std::multiset{agentAddress(1), agentAddress(2)}));
 }
 
+// Guards against an agent that does not learn of a drain or an evacuation
+// because a notice is lost, and against one that stays closed after its end.
+TEST_F(SteeringTest, AgentsAreToldWhetherTheirUpstreamsTakeFlows) {
+  EXPECT_TRUE(sent<IntakeNotice>(this->tick(seconds(1))).empty());
+  this->use({upstream(1), evacuated(upstream(2)),
+             upstream(3, UpstreamState::Draining)});
+  for (const Duration Delay :
+       {Duration::zero(), IntakeFirstRepeat, IntakeRenewal, IntakeRenewal}) {
+    std::set<std::uint32_t> Told;
+    for (const auto &[Agent, Notice] : sent<IntakeNotice>(this->tick(Delay))) {
+      EXPECT_TRUE(Notice.IsClosed);
+      Told.insert(Agent);
+    }
+    EXPECT_EQ(Told, (std::set{agentAddress(2), agentAddress(3)}));
+  }
+  EXPECT_TRUE(sent<IntakeNotice>(this->tick(milliseconds(10))).empty());
+  this->use({upstream(1), upstream(2)});
+  for (const Duration Delay :
+       {Duration::zero(), IntakeFirstRepeat, IntakeRenewal}) {
+    const auto Told = sent<IntakeNotice>(this->tick(Delay));
+    ASSERT_EQ(Told.size(), 1U);
+    EXPECT_EQ(Told[0].first, agentAddress(2));
+    EXPECT_FALSE(Told[0].second.IsClosed);
+  }
+  EXPECT_TRUE(sent<IntakeNotice>(this->tick(seconds(9))).empty());
+}
+
+/// What became of an opening before an agent gives it back.
+struct DisplacedRow {
+  std::string Name;
+  bool IsHeld = false;
+  /// Another agent's upstream has accepted it.
+  bool IsTaken = false;
+  std::vector<ListedUpstream> Upstreams;
+  Decision Expected = Decision::OpeningSent;
+};
+
+class DisplacedTest : public SteeringTest,
+                      public testing::WithParamInterface<DisplacedRow> {};
+
+// Guards against an opening that is lost, or that two agents take, because one
+// of them gave it back.
+TEST_P(DisplacedTest, OpeningIsPlacedAnewOnce) {
+  const DisplacedRow &Row = GetParam();
+  (void)this->packet(opening(9));
+  if (Row.IsHeld) {
+    (void)this->taken(2, 9, 0);
+  }
+  if (Row.IsTaken) {
+    (void)this->taken(1, 9, 500);
+  }
+  this->use(Row.Upstreams);
+  SteerActionList Out;
+  this->Logic.onDisplaced({agentAddress(2), PeerPort}, {milliseconds(70)},
+                          opening(9), this->Now, Out);
+  if (Row.IsTaken) {
+    EXPECT_TRUE(Out.empty());
+    return;
+  }
+  EXPECT_TRUE(decided(Out, Row.Expected));
+  for (const auto &[Agent, Header] : sent<Steer>(Out)) {
+    EXPECT_EQ(Agent, agentAddress(1));
+    EXPECT_TRUE(Header.Displaced);
+    EXPECT_EQ(Header.Waited, milliseconds(70));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, DisplacedTest,
+    testing::Values(
+        DisplacedRow{.Name = "held",
+                     .IsHeld = true,
+                     .Upstreams = {upstream(1), evacuated(upstream(2))}},
+        DisplacedRow{.Name = "unanswered",
+                     .Upstreams = {upstream(1), evacuated(upstream(2))}},
+        DisplacedRow{.Name = "nowhereElse",
+                     .IsHeld = true,
+                     .Upstreams = {evacuated(upstream(2))},
+                     .Expected = Decision::RefusedEvacuated},
+        DisplacedRow{.Name = "takenElsewhere",
+                     .IsHeld = true,
+                     .IsTaken = true,
+                     .Upstreams = {upstream(1), evacuated(upstream(2))}}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a caller's retransmission that follows an opening into an
+// evacuated zone although no upstream there has answered it.
+TEST_F(SteeringTest, RepeatedOpeningLeavesAnEvacuatedZoneUnlessAnswered) {
+  for (const std::uint32_t Sequence : {0U, 500U}) {
+    const auto Port = static_cast<std::uint16_t>(9 + Sequence);
+    this->use({upstream(1), upstream(2)});
+    (void)this->packet(opening(Port));
+    (void)this->taken(2, Port, Sequence);
+    this->use({upstream(1), evacuated(upstream(2))});
+    const auto Sent = sent<Steer>(this->packet(opening(Port)));
+    ASSERT_EQ(Sent.size(), 1U);
+    EXPECT_EQ(Sent[0].first, agentAddress(Sequence == 0 ? 1 : 2));
+  }
+}
+
 TEST_F(SteeringTest, PacketGoesToTheOwnerOfItsFlow) {
   (void)this->packet(opening(9));
   (void)this->taken(3, 9, 500);
