Tell an agent when a new upstream follows the one that drained

Cause: once the entry of a drained upstream was removed, nothing told its agent that the next upstream there takes new flows, so that it passed openings on until the last notice expired, for up to 3.5 s.

Change: balancers remember whom they have told for as long as they list the upstream that left, and tell the agent when the next one registers. The gauge `mulberry_evacuated_zones` counts the zones on a balancer.

--- a/include/mulberryhoist/intake.h
+++ b/include/mulberryhoist/intake.h
@@ -67,6 +67,8 @@
   struct Announcement {
     IntakeNotice Notice;
     std::uint32_t Sent = 0;
+    /// Whether an upstream is listed at the agent; none is told otherwise.
+    bool IsListed = true;
     Instant DueAt;
   };
 
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -85,6 +85,8 @@
       : Settings(Settings), Directories(Directories), Errors(Metrics),
         Decisions(Metrics, "opening_answer_seconds",
                   "Time until an agent accepted an opening"),
+        EvacuatedZones(makeGauge(Metrics, "evacuated_zones",
+                                 "Availability zones that get no new flows")),
         Packets(std::move(Packets)), Peers(std::move(Peers)),
         Output(this->Peers, Settings.CallerPort, this->Decisions,
                this->Errors) {}
@@ -95,6 +97,8 @@
     if (Next != Applied && Next != nullptr) {
       Logic.onDirectory(Next);
       this->Output.Version = Next->version();
+      this->EvacuatedZones.Set(static_cast<double>(
+          std::ranges::count_if(Next->evacuations(), &Evacuation::IsActive)));
       Applied = std::move(Next);
     }
   }
@@ -182,6 +186,7 @@
   SharedDirectory &Directories;
   ErrorCounters Errors;
   DecisionLog Decisions;
+  prometheus::Gauge &EvacuatedZones;
   DatagramSocket Packets;
   DatagramSocket Peers;
   SteerOutput<Format> Output;
--- a/src/intake.cc
+++ b/src/intake.cc
@@ -40,8 +40,13 @@
     }
     Known.Notice = {Each.Service, Each.Revision, Each.IsClosed};
   }
+  // An agent that was told that its upstream drains is told when the next one
+  // registers.
+  for (auto &[Agent, Each] : this->Agents) {
+    Each.IsListed = Next.hasAgent(Agent);
+  }
   std::erase_if(this->Agents, [&Next](const auto &Each) {
-    return !Next.hasAgent(Each.first);
+    return !Next.knowsAgent(Each.first);
   });
 }
 
@@ -57,7 +62,9 @@
   }
   for (auto &[Agent, Each] : this->Agents) {
     if (Now >= Each.DueAt) {
-      Out.emplace_back(SendSteer{{Agent, PeerPort}, Each.Notice, {}});
+      if (Each.IsListed) {
+        Out.emplace_back(SendSteer{{Agent, PeerPort}, Each.Notice, {}});
+      }
       Each.DueAt = Now + (Each.Sent == 0 ? IntakeFirstRepeat : IntakeRenewal);
       ++Each.Sent;
     }
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -201,13 +201,19 @@
     EXPECT_EQ(Told, (std::set{agentAddress(2), agentAddress(3)}));
   }
   EXPECT_TRUE(sent<IntakeNotice>(this->tick(milliseconds(10))).empty());
-  this->use({upstream(1), upstream(2)});
+  // The upstream that drained has left.
+  this->use(
+      {upstream(1), evacuated(upstream(2)), upstream(3, UpstreamState::Gone)});
+  EXPECT_EQ(sent<IntakeNotice>(this->tick(IntakeRenewal)).size(), 1U);
+  this->use({upstream(1), upstream(2), upstream(3)});
   for (const Duration Delay :
        {Duration::zero(), IntakeFirstRepeat, IntakeRenewal}) {
-    const auto Told = sent<IntakeNotice>(this->tick(Delay));
-    ASSERT_EQ(Told.size(), 1U);
-    EXPECT_EQ(Told[0].first, agentAddress(2));
-    EXPECT_FALSE(Told[0].second.IsClosed);
+    std::set<std::uint32_t> Told;
+    for (const auto &[Agent, Notice] : sent<IntakeNotice>(this->tick(Delay))) {
+      EXPECT_FALSE(Notice.IsClosed);
+      Told.insert(Agent);
+    }
+    EXPECT_EQ(Told, (std::set{agentAddress(2), agentAddress(3)}));
   }
   EXPECT_TRUE(sent<IntakeNotice>(this->tick(seconds(9))).empty());
 }
