--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -99,6 +99,10 @@
   /// Agents that do not know the flow pass the packet on without asking their
   /// upstreams.
   bool KnownOnly = false;
+  /// An agent whose upstream takes no new flows has given the opening back.
+  bool Displaced = false;
+  /// How long the opening was held before that.
+  std::chrono::milliseconds Waited{0};
 };
 
 /// Notifies a balancer that the sender is the owner of a flow or holds its
@@ -127,6 +131,21 @@
   bool Incomplete = false;
 };
 
+/// Returns an opening to the balancer that sent it, because the upstream takes
+/// no new flows any more, and carries its packet.
+struct Displaced {
+  /// How long the opening was held.
+  std::chrono::milliseconds Waited{0};
+};
+
+/// Notifies an agent whether its upstream takes new flows.
+struct IntakeNotice {
+  ServiceId Service;
+  /// The revision of the source that decided it; a greater one is newer.
+  std::uint64_t Revision = 0;
+  bool IsClosed = false;
+};
+
 /// Checks whether an agent is alive.
 struct Check {
   std::uint64_t Sequence = 0;
@@ -139,8 +158,8 @@
 };
 
 /// Any message of the steered path.
-using SteerMessage =
-    std::variant<Steer, Taken, Refused, NotHeld, Check, CheckReply>;
+using SteerMessage = std::variant<Steer, Taken, Refused, NotHeld, Check,
+                                  CheckReply, IntakeNotice, Displaced>;
 
 /// A decoded datagram; `Packet` points into the decoded bytes.
 struct SteerDatagram {
