Reject entries with fields missing or of another type

Cause: an entry without zone, version, cold_left_ms and seq counted as that of an upstream.

Change: an entry must have all fields that upstreams write, each of its type. The start time may be missing, as in the platform's own sample of an entry, but not be of another type. The soak test's stand-in for upstreams writes the version too.

--- a/test/platform-adapter-test.cc
+++ b/test/platform-adapter-test.cc
@@ -112,6 +112,15 @@
   EXPECT_EQ(Listed->State, UpstreamState::Ready);
 }
 
+// Entries of older versions of the platform have no start time.
+TEST(StoreModelTest, ReadsAnUpstreamWithoutStartTime) {
+  std::string Entry(GoodEntry);
+  Entry.replace(Entry.find(R"(,"born":1)"), std::size(R"(,"born":1)") - 1, "");
+  const auto Listed = parseUpstream("i-1", Entry);
+  ASSERT_TRUE(Listed.has_value());
+  EXPECT_EQ(Listed->StartedAt, milliseconds(0));
+}
+
 class BadEntryTest : public testing::TestWithParam<std::string_view> {};
 
 // Guards against entries of other writers that are accepted as upstreams.
@@ -121,17 +130,56 @@
   EXPECT_EQ(Listed.error().Kind, ErrorKind::InvalidTable);
 }
 
+INSTANTIATE_TEST_SUITE_P(Entries, BadEntryTest,
+                         testing::Values("", "\xff\xfe", "[]", "7", "{}"));
+
+struct BadFieldRow {
+  std::string_view Field;
+  /// The field with an invalid value; the field is missing if empty.
+  std::string_view Replacement = "";
+};
+
+class BadFieldTest : public testing::TestWithParam<BadFieldRow> {};
+
+// Guards against an incomplete entry of another writer that counts as that of
+// an upstream (review case 4).
+TEST_P(BadFieldTest, EntryIsRejectedAndTheErrorNamesTheField) {
+  const auto [Field, Replacement] = GetParam();
+  std::string Entry(GoodEntry);
+  const std::size_t At = Entry.find(Field);
+  ASSERT_NE(At, std::string::npos);
+  const std::size_t After = Entry.find_first_of(",}", At);
+  if (Replacement.empty()) {
+    // No field of this name is left.
+    Entry[At + 1] = '_';
+  } else {
+    Entry.replace(At, After - At, Replacement);
+  }
+  const auto Listed = parseUpstream("i-1", Entry);
+  ASSERT_FALSE(Listed.has_value()) << Entry;
+  const std::string Name(Field.substr(1, Field.find('"', 1) - 1));
+  EXPECT_TRUE(Listed.error().Detail.ends_with(Name)) << Listed.error().Detail;
+}
+
 INSTANTIATE_TEST_SUITE_P(
-    Entries, BadEntryTest,
-    testing::Values(
-        "", "\xff\xfe", "[]", "7", "{}",
-        R"({"backend":7,"addr":"10.0.0.1:1","slots":4,"state":"ready"})",
-        R"({"backend":"a","addr":"10.0.0.1","slots":4,"state":"ready"})",
-        R"({"backend":"a","addr":"10.0.0.1:1","slots":"4","state":"ready"})",
-        R"({"backend":"a","addr":"10.0.0.1:1","slots":0,"state":"ready"})",
-        R"({"backend":"a","addr":"10.0.0.1:1","slots":-4,"state":"ready"})",
-        R"({"backend":"a","addr":"10.0.0.1:1","slots":4,"state":"odd"})",
-        R"({"backend":"a","addr":"10.0.0.1:1","slots":4})"));
+    Fields, BadFieldTest,
+    testing::Values(BadFieldRow{R"("backend":)"}, BadFieldRow{R"("addr":)"},
+                    BadFieldRow{R"("zone":)"}, BadFieldRow{R"("version":)"},
+                    BadFieldRow{R"("slots":)"}, BadFieldRow{R"("state":)"},
+                    BadFieldRow{R"("cold_left_ms":)"}, BadFieldRow{R"("seq":)"},
+                    BadFieldRow{R"("backend":)", R"("backend":7)"},
+                    BadFieldRow{R"("addr":)", R"("addr":"10.0.0.1")"},
+                    BadFieldRow{R"("zone":)", R"("zone":null)"},
+                    BadFieldRow{R"("version":)", R"("version":1)"},
+                    BadFieldRow{R"("slots":)", R"("slots":"4")"},
+                    BadFieldRow{R"("slots":)", R"("slots":0)"},
+                    BadFieldRow{R"("slots":)", R"("slots":-4)"},
+                    BadFieldRow{R"("state":)", R"("state":"odd")"},
+                    BadFieldRow{R"("cold_left_ms":)", R"("cold_left_ms":"0")"},
+                    BadFieldRow{R"("cold_left_ms":)", R"("cold_left_ms":-1)"},
+                    BadFieldRow{R"("seq":)", R"("seq":[4])"},
+                    BadFieldRow{R"("born":)", R"("born":"1")"},
+                    BadFieldRow{R"("born":)", R"("born":1.5)"}));
 
 TEST(StoreModelTest, SkipsInvalidRoutes) {
   const auto Read = parseRoutes(
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -198,10 +198,11 @@
         this->Network + 100 + static_cast<std::uint32_t>(Number);
     this->Platform.put(
         "servers/" + this->Upstreams[Number]->name(),
-        fmt::format(R"({{"backend":"{}","addr":"{}","zone":"z","slots":4,
+        fmt::format(
+            R"({{"backend":"{}","addr":"{}","zone":"z","version":"v1","slots":4,
                         "state":"{}","cold_left_ms":0,"seq":1}})",
-                    this->Serves[Number] ? "orders" : "templates",
-                    formatEndpoint({Address, UpstreamPort}), State));
+            this->Serves[Number] ? "orders" : "templates",
+            formatEndpoint({Address, UpstreamPort}), State));
   }
 
   CallerSettings callerSettings() {
