Let only services of the configuration name upstreams

Cause: the directory took the newest entry of an address for the only valid one, whatever its service.

Change: one rule in DirectoryBuilder decides which entries name an upstream: those whose service the configuration lists, with or without a route, those of a route's targets, and those of its former targets, whose flows live on. All other entries are left out of the directory, and with it out of what balancers give each other. The exchanged directory carries the list of services, so that a balancer without the store decides alike; a balancer of an older version leaves it out, and the routes' services count then.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -66,6 +66,8 @@
 struct RouteSet {
   std::uint64_t Version = 0;
   std::vector<Route> Routes;
+  /// All services that the configuration names, also those without a route.
+  std::vector<ServiceId> Services{};
 };
 
 /// Whether an upstream takes new flows.
@@ -170,9 +172,13 @@
 
   std::span<const Route> routes() const { return this->Routes; }
 
+  /// Returns the services that the configuration names besides its routes.
+  std::span<const ServiceId> namedServices() const { return this->Named; }
+
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
+  std::vector<ServiceId> Named;
   Completeness Listing;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
@@ -251,6 +257,11 @@
     std::optional<Instant> ExpiresAt;
   };
 
+  /// Returns whether an entry names an upstream: its service is one of the
+  /// configuration, or a former target of a route, whose flows may live there.
+  /// Other writers leave entries of other services. Any service counts until
+  /// there is a configuration.
+  bool namesUpstream(const ListedUpstream &Entry) const;
   void remove(Entry &Each, Instant Now);
   void markGone(Entry &Each, Instant Now);
   /// Sets the former targets of the next version's routes, which replaces the
@@ -258,6 +269,8 @@
   void keepFormerTargets(RouteSet &Next, Instant Now) const;
 
   RouteSet Routes;
+  /// The services whose entries name upstreams.
+  std::unordered_set<ServiceId> Named;
   std::map<std::string, Entry, std::less<>> Entries;
   Completeness Listing;
   std::uint64_t AppliedRevision = 0;
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -73,10 +73,15 @@
                            {"ready", Each.State == UpstreamState::Ready}});
     }
   });
+  Json Services = Json::array();
+  for (const ServiceId Each : From.namedServices()) {
+    Services.push_back(Each.Value);
+  }
   return Json{{"version", From.version()},
               {"source_available", Source.IsAvailable},
               {"revision", Source.Revision},
               {"routes", std::move(Routes)},
+              {"services", std::move(Services)},
               {"upstreams", std::move(Upstreams)}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -96,6 +101,10 @@
                          "directory: route has no targets");
       }
     }
+    // Balancers of an older version do not send it.
+    for (const Json &Each : Root.value("services", Json::array())) {
+      Parsed.Routes.Services.push_back({Each.get<std::uint32_t>()});
+    }
     for (const Json &Each : Root.at("upstreams")) {
       Parsed.Upstreams.push_back(readUpstream(Each));
     }
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -17,6 +17,22 @@
        {"slots", std::int64_t{Each.Slots}}});
 }
 
+/// Returns the services that a configuration lists, those of its routes, and
+/// those that its routes have left.
+std::unordered_set<ServiceId> namedServices(const RouteSet &From) {
+  std::unordered_set<ServiceId> Named(From.Services.begin(),
+                                      From.Services.end());
+  for (const Route &Each : From.Routes) {
+    for (const RouteTarget &Target : Each.Targets) {
+      Named.insert(Target.Service);
+    }
+    for (const FormerTarget &Target : Each.Former) {
+      Named.insert(Target.Service);
+    }
+  }
+  return Named;
+}
+
 /// Returns whether two entries of one name describe the same process.
 bool isSameIncarnation(const ListedUpstream &A, const ListedUpstream &B) {
   return A.Registered == B.Registered && A.StartedAt == B.StartedAt &&
@@ -40,7 +56,7 @@
 Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
                      Completeness Listing)
     : Version(Routes.Version), Routes(std::move(Routes.Routes)),
-      Listing(Listing) {
+      Named(std::move(Routes.Services)), Listing(Listing) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
@@ -118,11 +134,16 @@
     this->Listing.RoutesKnownSince = Now;
   }
   this->Routes = std::move(Next);
+  this->Named = namedServices(this->Routes);
   this->HasRoutes = true;
   this->Cached = nullptr;
   return {};
 }
 
+bool DirectoryBuilder::namesUpstream(const ListedUpstream &Entry) const {
+  return !this->HasRoutes || this->Named.contains(Entry.Service);
+}
+
 void DirectoryBuilder::onUpstream(ListedUpstream Changed) {
   Entry &Existing = this->Entries[Changed.Name];
   const bool IsNew = Existing.Listed.Name.empty();
@@ -253,12 +274,17 @@
     // entry expires; only the newest entry of an address is valid.
     std::unordered_map<std::uint32_t, std::uint64_t> Newest;
     for (const auto &[Name, Each] : this->Entries) {
-      std::uint64_t &Last = Newest[Each.Listed.Address];
-      Last = std::max(Last, Each.Listed.Registered);
+      if (this->namesUpstream(Each.Listed)) {
+        std::uint64_t &Last = Newest[Each.Listed.Address];
+        Last = std::max(Last, Each.Listed.Registered);
+      }
     }
     std::vector<ListedUpstream> All;
     All.reserve(this->Entries.size());
     for (const auto &[Name, Each] : this->Entries) {
+      if (!this->namesUpstream(Each.Listed)) {
+        continue;
+      }
       All.push_back(Each.Listed);
       if (Each.ExpiresAt) {
         All.back().GoneSince = *Each.ExpiresAt - GoneRetention;
