Keep the flows of an upstream whose entry another writer replaced

Cause: an entry that cannot be read, or of an unknown service, that replaced the entry of a living upstream made it gone until its next heartbeat.

Change: entries that name no upstream are kept apart. The upstream whose entry one replaced stays listed and gets no new flows until it registers again, or the entry is removed. An entry whose service a later configuration names is listed then. Such entries are not awaited by confirmations.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -98,6 +98,9 @@
   std::chrono::milliseconds StartedAt{0};
   /// When the upstream was found to be gone; set in snapshots only.
   std::optional<Instant> GoneSince;
+  /// Whether all fields could be read; if not, only the name and the revisions
+  /// are valid.
+  bool IsReadable = true;
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
@@ -206,7 +209,8 @@
   /// the version is known to follow the current one.
   Result<void> onRoutes(RouteSet Next, bool Skips, Instant Now);
 
-  /// Adds an upstream or replaces its entry.
+  /// Adds an upstream or replaces its entry. An entry that names no upstream
+  /// adds none, and takes no flows from the upstream whose entry it replaces.
   void onUpstream(ListedUpstream Changed);
 
   /// Handles the removal of an upstream's entry at the source.
@@ -257,11 +261,15 @@
     std::optional<Instant> ExpiresAt;
   };
 
-  /// Returns whether an entry names an upstream: its service is one of the
-  /// configuration, or a former target of a route, whose flows may live there.
-  /// Other writers leave entries of other services. Any service counts until
-  /// there is a configuration.
+  /// Returns whether an entry names an upstream: it is readable, and its
+  /// service is one of the configuration, or a former target of a route, whose
+  /// flows may live there. Other writers leave other entries. Any service
+  /// counts until there is a configuration.
   bool namesUpstream(const ListedUpstream &Entry) const;
+  /// Handles an entry that names no upstream.
+  void onForeignEntry(ListedUpstream Changed);
+  /// Lists the upstreams that a new configuration names.
+  void reconsiderForeignEntries();
   void remove(Entry &Each, Instant Now);
   void markGone(Entry &Each, Instant Now);
   /// Sets the former targets of the next version's routes, which replaces the
@@ -272,6 +280,9 @@
   /// The services whose entries name upstreams.
   std::unordered_set<ServiceId> Named;
   std::map<std::string, Entry, std::less<>> Entries;
+  /// Entries that name no upstream. One that replaced the entry of an upstream
+  /// keeps it from new flows until the upstream registers again or is removed.
+  std::map<std::string, ListedUpstream, std::less<>> Foreign;
   Completeness Listing;
   std::uint64_t AppliedRevision = 0;
   bool HasRoutes = false;
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -136,15 +136,50 @@
   this->Routes = std::move(Next);
   this->Named = namedServices(this->Routes);
   this->HasRoutes = true;
+  this->reconsiderForeignEntries();
   this->Cached = nullptr;
   return {};
 }
 
 bool DirectoryBuilder::namesUpstream(const ListedUpstream &Entry) const {
-  return !this->HasRoutes || this->Named.contains(Entry.Service);
+  return Entry.IsReadable &&
+         (!this->HasRoutes || this->Named.contains(Entry.Service));
+}
+
+void DirectoryBuilder::onForeignEntry(ListedUpstream Changed) {
+  const auto Known = this->Foreign.find(Changed.Name);
+  if (Known != this->Foreign.end() && Known->second == Changed) {
+    return;
+  }
+  log(LogLevel::Info, "entry names no upstream",
+      {{"entry", Changed.Name},
+       {"cause", Changed.IsReadable ? "unknown service" : "not readable"},
+       {"replaces_upstream", this->Entries.contains(Changed.Name)}});
+  std::string Name = Changed.Name;
+  this->Foreign.insert_or_assign(std::move(Name), std::move(Changed));
+  this->Cached = nullptr;
+}
+
+void DirectoryBuilder::reconsiderForeignEntries() {
+  std::vector<ListedUpstream> Upstreams;
+  for (const auto &[Name, Each] : this->Foreign) {
+    if (this->namesUpstream(Each)) {
+      Upstreams.push_back(Each);
+    }
+  }
+  for (ListedUpstream &Each : Upstreams) {
+    this->onUpstream(std::move(Each));
+  }
 }
 
 void DirectoryBuilder::onUpstream(ListedUpstream Changed) {
+  if (!this->namesUpstream(Changed)) {
+    this->onForeignEntry(std::move(Changed));
+    return;
+  }
+  if (this->Foreign.erase(Changed.Name) > 0) {
+    this->Cached = nullptr;
+  }
   Entry &Existing = this->Entries[Changed.Name];
   const bool IsNew = Existing.Listed.Name.empty();
   const bool IsSame = Existing.Listed == Changed;
@@ -185,6 +220,10 @@
 }
 
 void DirectoryBuilder::onRemoved(std::string_view Name, Instant Now) {
+  if (const auto Other = this->Foreign.find(Name);
+      Other != this->Foreign.end()) {
+    this->Foreign.erase(Other);
+  }
   const auto Found = this->Entries.find(Name);
   if (Found != this->Entries.end()) {
     this->remove(Found->second, Now);
@@ -207,6 +246,9 @@
     Present.insert(Each.Name);
     this->onUpstream(std::move(Each));
   }
+  std::erase_if(this->Foreign, [&Present](const auto &Each) {
+    return !Present.contains(Each.first);
+  });
   for (auto &[Name, Each] : this->Entries) {
     if (!Present.contains(Name)) {
       this->remove(Each, Now);
@@ -247,6 +289,9 @@
 
 bool DirectoryBuilder::hasAll(std::span<const ListedUpstream> Listed) const {
   return std::ranges::all_of(Listed, [this](const ListedUpstream &Each) {
+    if (!this->namesUpstream(Each)) {
+      return true;
+    }
     const auto Found = this->Entries.find(Each.Name);
     return Found != this->Entries.end() &&
            isSameIncarnation(Found->second.Listed, Each);
@@ -291,6 +336,9 @@
       }
       if (Each.Listed.Registered < Newest[Each.Listed.Address]) {
         All.back().State = UpstreamState::Gone;
+      } else if (Each.Listed.State == UpstreamState::Ready &&
+                 this->Foreign.contains(Name)) {
+        All.back().State = UpstreamState::Draining;
       }
     }
     this->Cached =
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -315,6 +315,105 @@
                   .After = {{{OrderService}}}}),
     [](const auto &Info) { return Info.param.Name; });
 
+ListedUpstream foreignEntry() {
+  ListedUpstream Each = upstream(1);
+  Each.Service = ThirdService;
+  return Each;
+}
+
+ListedUpstream unreadableEntry() {
+  ListedUpstream Each;
+  Each.Name = "i-1";
+  Each.IsReadable = false;
+  return Each;
+}
+
+struct OverwrittenRow {
+  std::string Name;
+  /// What happens after the entry of a ready upstream has been read.
+  void (*Change)(DirectoryBuilder &, Instant);
+  UpstreamState Expected;
+};
+
+class OverwrittenEntryTest
+    : public DirectoryBuilderTest,
+      public testing::WithParamInterface<OverwrittenRow> {};
+
+// Guards against the reset of flows of a living upstream over whose entry
+// another writer has written, and against new flows for it: the entry names no
+// upstream.
+TEST_P(OverwrittenEntryTest, UpstreamKeepsItsFlowsUntilItRegistersAgain) {
+  ASSERT_TRUE(this->Builder.onRoutes(routes(), false, this->Now).has_value());
+  this->Builder.onListing({upstream(1), upstream(2)}, this->Now);
+  GetParam().Change(this->Builder, this->Now);
+  EXPECT_EQ(this->stateOf(1), GetParam().Expected);
+  EXPECT_EQ(this->stateOf(2), UpstreamState::Ready);
+  EXPECT_EQ(this->Builder.completeness().Additions, 2U);
+  EXPECT_TRUE(this->Builder.current()->upstreams(ThirdService).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, OverwrittenEntryTest,
+    testing::Values(
+        OverwrittenRow{"unknownService",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(foreignEntry());
+                       },
+                       UpstreamState::Draining},
+        OverwrittenRow{"notReadable",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(unreadableEntry());
+                       },
+                       UpstreamState::Draining},
+        OverwrittenRow{
+            "inAListing",
+            [](DirectoryBuilder &Builder, Instant Now) {
+              Builder.onListing({unreadableEntry(), upstream(2)}, Now);
+            },
+            UpstreamState::Draining},
+        OverwrittenRow{"ofADrainingUpstream",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(
+                             upstream(1, UpstreamState::Draining));
+                         Builder.onUpstream(foreignEntry());
+                       },
+                       UpstreamState::Draining},
+        OverwrittenRow{"registeredAgain",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(foreignEntry());
+                         Builder.onUpstream(upstream(1));
+                       },
+                       UpstreamState::Ready},
+        OverwrittenRow{"removed",
+                       [](DirectoryBuilder &Builder, Instant Now) {
+                         Builder.onUpstream(foreignEntry());
+                         Builder.onRemoved("i-1", Now);
+                       },
+                       UpstreamState::Gone},
+        OverwrittenRow{"missingFromAListing",
+                       [](DirectoryBuilder &Builder, Instant Now) {
+                         Builder.onUpstream(foreignEntry());
+                         Builder.onListing({upstream(2)}, Now);
+                       },
+                       UpstreamState::Gone},
+        OverwrittenRow{"afterItsRemoval",
+                       [](DirectoryBuilder &Builder, Instant Now) {
+                         Builder.onRemoved("i-1", Now);
+                         Builder.onUpstream(foreignEntry());
+                       },
+                       UpstreamState::Gone}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a directory that is never confirmed, or not complete, because
+// of an entry that names no upstream.
+TEST_F(DirectoryBuilderTest, ForeignEntriesAreNoUpstreamsToConfirm) {
+  ASSERT_TRUE(this->Builder.onRoutes(routes(), false, this->Now).has_value());
+  this->Builder.onListing({unreadableEntry()}, this->Now);
+  EXPECT_TRUE(this->Builder.isComplete());
+  EXPECT_TRUE(this->Builder.hasAll(std::vector{foreignEntry()}));
+  EXPECT_FALSE(this->Builder.hasAll(std::vector{upstream(1)}));
+}
+
 // Guards against a search that misses an upstream: each new one, and each
 // restart under the same name, must change the number of additions.
 TEST_F(DirectoryBuilderTest, AdditionsCountUpstreamsAndRestarts) {
--- a/test/store-feed-test.cc
+++ b/test/store-feed-test.cc
@@ -25,6 +25,39 @@
          R"(,"routes":[],"backends":[{"name":"orders"}]})";
 }
 
+// Guards against the reset of flows whose upstream lives, because another
+// writer has written over its entry.
+TEST(StoreFeedWatchTest, InvalidEntryEndsNoFlowsOfTheUpstreamItReplaces) {
+  Store Server{Address};
+  SharedDirectory Directories;
+  BootSettings Settings;
+  Settings.Store = Address;
+  StoreFeed Feed{Settings, Directories};
+  Server.put("op/config", configuration(7));
+  Server.put("servers/i-1", std::string(Entry));
+  std::jthread Reader([&Feed](const std::stop_token &Stop) {
+    EXPECT_TRUE(Feed.run(Stop).has_value());
+  });
+  const auto AwaitState = [&Directories](UpstreamState Expected) {
+    for (int I = 0; I < 500; ++I) {
+      const auto InForce = Directories.get();
+      if (InForce != nullptr) {
+        const auto Listed = InForce->upstreams(serviceId("orders"));
+        if (!Listed.empty() && Listed[0].State == Expected) {
+          return true;
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  };
+  ASSERT_TRUE(AwaitState(UpstreamState::Ready));
+  Server.put("servers/i-1", R"({"state":"rea)");
+  EXPECT_TRUE(AwaitState(UpstreamState::Draining));
+  Server.put("servers/i-1", std::string(Entry));
+  EXPECT_TRUE(AwaitState(UpstreamState::Ready));
+}
+
 /// What happens at the store after the directory was read from it.
 struct ConfirmationRow {
   std::string Name;
