--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -66,6 +66,8 @@
 struct RouteSet {
   std::uint64_t Version = 0;
   std::vector<Route> Routes;
+  /// All services that the configuration names, also those without a route.
+  std::vector<ServiceId> Services{};
 };
 
 /// Whether an upstream takes new flows.
@@ -100,6 +102,9 @@
   std::optional<Instant> GoneSince;
   /// Whether the availability zone is evacuated; set in snapshots only.
   bool IsEvacuated = false;
+  /// Whether all fields could be read; if not, only the name and the revisions
+  /// are valid.
+  bool IsReadable = true;
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
@@ -204,10 +209,13 @@
 
   /// Returns the intake of all upstreams that are not gone.
   std::vector<UpstreamIntake> intakes() const;
+  /// Returns the services that the configuration names besides its routes.
+  std::span<const ServiceId> namedServices() const { return this->Named; }
 
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
+  std::vector<ServiceId> Named;
   Completeness Listing;
   std::vector<Evacuation> Evacuations;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
@@ -244,7 +252,8 @@
   /// the version is known to follow the current one.
   Result<void> onRoutes(RouteSet Next, bool Skips, Instant Now);
 
-  /// Adds an upstream or replaces its entry.
+  /// Adds an upstream or replaces its entry. An entry that names no upstream
+  /// adds none, and takes no flows from the upstream whose entry it replaces.
   void onUpstream(ListedUpstream Changed);
 
   /// Handles the removal of an upstream's entry at the source.
@@ -314,6 +323,15 @@
   };
 
   bool isEvacuated(std::string_view Zone) const;
+  /// Returns whether an entry names an upstream: it is readable, and its
+  /// service is one of the configuration, or a former target of a route, whose
+  /// flows may live there. Other writers leave other entries. Any service
+  /// counts until there is a configuration.
+  bool namesUpstream(const ListedUpstream &Entry) const;
+  /// Handles an entry that names no upstream.
+  void onForeignEntry(ListedUpstream Changed);
+  /// Lists the upstreams that a new configuration names.
+  void reconsiderForeignEntries();
   void remove(Entry &Each, Instant Now);
   void markGone(Entry &Each, Instant Now);
   /// Sets the former targets of the next version's routes, which replaces the
@@ -321,8 +339,13 @@
   void keepFormerTargets(RouteSet &Next, Instant Now) const;
 
   RouteSet Routes;
+  /// The services whose entries name upstreams.
+  std::unordered_set<ServiceId> Named;
   std::map<std::string, Entry, std::less<>> Entries;
   std::map<std::string, KnownEvacuation, std::less<>> Evacuations;
+  /// Entries that name no upstream. One that replaced the entry of an upstream
+  /// keeps it from new flows until the upstream registers again or is removed.
+  std::map<std::string, ListedUpstream, std::less<>> Foreign;
   Completeness Listing;
   std::uint64_t AppliedRevision = 0;
   bool HasRoutes = false;
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -17,6 +17,22 @@
        {"slots", std::int64_t{Each.Slots}}});
 }
 
+/// Returns the services that a configuration lists, those of its routes, and
+/// those that its routes have left.
+std::unordered_set<ServiceId> namedServices(const RouteSet &From) {
+  std::unordered_set<ServiceId> Named(From.Services.begin(),
+                                      From.Services.end());
+  for (const Route &Each : From.Routes) {
+    for (const RouteTarget &Target : Each.Targets) {
+      Named.insert(Target.Service);
+    }
+    for (const FormerTarget &Target : Each.Former) {
+      Named.insert(Target.Service);
+    }
+  }
+  return Named;
+}
+
 /// Returns whether two entries of one name describe the same process.
 bool isSameIncarnation(const ListedUpstream &A, const ListedUpstream &B) {
   return A.Registered == B.Registered && A.StartedAt == B.StartedAt &&
@@ -40,7 +56,8 @@
 Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
                      Completeness Listing, std::vector<Evacuation> Evacuations)
     : Version(Routes.Version), Routes(std::move(Routes.Routes)),
-      Listing(Listing), Evacuations(std::move(Evacuations)) {
+      Named(std::move(Routes.Services)), Listing(Listing),
+      Evacuations(std::move(Evacuations)) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
@@ -138,12 +155,52 @@
     this->Listing.RoutesKnownSince = Now;
   }
   this->Routes = std::move(Next);
+  this->Named = namedServices(this->Routes);
   this->HasRoutes = true;
+  this->reconsiderForeignEntries();
   this->Cached = nullptr;
   return {};
 }
 
+bool DirectoryBuilder::namesUpstream(const ListedUpstream &Entry) const {
+  return Entry.IsReadable &&
+         (!this->HasRoutes || this->Named.contains(Entry.Service));
+}
+
+void DirectoryBuilder::onForeignEntry(ListedUpstream Changed) {
+  const auto Known = this->Foreign.find(Changed.Name);
+  if (Known != this->Foreign.end() && Known->second == Changed) {
+    return;
+  }
+  log(LogLevel::Info, "entry names no upstream",
+      {{"entry", Changed.Name},
+       {"cause", Changed.IsReadable ? "unknown service" : "not readable"},
+       {"replaces_upstream", this->Entries.contains(Changed.Name)}});
+  std::string Name = Changed.Name;
+  this->Foreign.insert_or_assign(std::move(Name), std::move(Changed));
+  this->Cached = nullptr;
+}
+
+void DirectoryBuilder::reconsiderForeignEntries() {
+  std::vector<ListedUpstream> Upstreams;
+  for (const auto &[Name, Each] : this->Foreign) {
+    if (this->namesUpstream(Each)) {
+      Upstreams.push_back(Each);
+    }
+  }
+  for (ListedUpstream &Each : Upstreams) {
+    this->onUpstream(std::move(Each));
+  }
+}
+
 void DirectoryBuilder::onUpstream(ListedUpstream Changed) {
+  if (!this->namesUpstream(Changed)) {
+    this->onForeignEntry(std::move(Changed));
+    return;
+  }
+  if (this->Foreign.erase(Changed.Name) > 0) {
+    this->Cached = nullptr;
+  }
   Entry &Existing = this->Entries[Changed.Name];
   const bool IsNew = Existing.Listed.Name.empty();
   const bool IsSame = Existing.Listed == Changed;
@@ -184,6 +241,10 @@
 }
 
 void DirectoryBuilder::onRemoved(std::string_view Name, Instant Now) {
+  if (const auto Other = this->Foreign.find(Name);
+      Other != this->Foreign.end()) {
+    this->Foreign.erase(Other);
+  }
   const auto Found = this->Entries.find(Name);
   if (Found != this->Entries.end()) {
     this->remove(Found->second, Now);
@@ -206,6 +267,9 @@
     Present.insert(Each.Name);
     this->onUpstream(std::move(Each));
   }
+  std::erase_if(this->Foreign, [&Present](const auto &Each) {
+    return !Present.contains(Each.first);
+  });
   for (auto &[Name, Each] : this->Entries) {
     if (!Present.contains(Name)) {
       this->remove(Each, Now);
@@ -324,6 +388,9 @@
 
 bool DirectoryBuilder::hasAll(std::span<const ListedUpstream> Listed) const {
   return std::ranges::all_of(Listed, [this](const ListedUpstream &Each) {
+    if (!this->namesUpstream(Each)) {
+      return true;
+    }
     const auto Found = this->Entries.find(Each.Name);
     return Found != this->Entries.end() &&
            isSameIncarnation(Found->second.Listed, Each);
@@ -360,18 +427,26 @@
     // entry expires; only the newest entry of an address is valid.
     std::unordered_map<std::uint32_t, std::uint64_t> Newest;
     for (const auto &[Name, Each] : this->Entries) {
-      std::uint64_t &Last = Newest[Each.Listed.Address];
-      Last = std::max(Last, Each.Listed.Registered);
+      if (this->namesUpstream(Each.Listed)) {
+        std::uint64_t &Last = Newest[Each.Listed.Address];
+        Last = std::max(Last, Each.Listed.Registered);
+      }
     }
     std::vector<ListedUpstream> All;
     All.reserve(this->Entries.size());
     for (const auto &[Name, Each] : this->Entries) {
+      if (!this->namesUpstream(Each.Listed)) {
+        continue;
+      }
       All.push_back(Each.Listed);
       if (Each.ExpiresAt) {
         All.back().GoneSince = *Each.ExpiresAt - GoneRetention;
       }
       if (Each.Listed.Registered < Newest[Each.Listed.Address]) {
         All.back().State = UpstreamState::Gone;
+      } else if (Each.Listed.State == UpstreamState::Ready &&
+                 this->Foreign.contains(Name)) {
+        All.back().State = UpstreamState::Draining;
       }
       All.back().IsEvacuated = this->isEvacuated(Each.Listed.AvailabilityZone);
     }
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -197,6 +197,223 @@
   EXPECT_FALSE(this->Builder.current()->hasAgent(agentAddress(1)));
 }
 
+/// How an entry that claims the address of a living upstream arrives.
+enum class Delivery : std::uint8_t { Watch, Listing, Peer };
+
+/// The services of one version of the configuration.
+struct NamedServices {
+  std::vector<ServiceId> OfTheRoute;
+  std::vector<ServiceId> Listed = {};
+};
+
+struct NamingRow {
+  std::string Name;
+  /// The service of the entry, which is newer than the upstream's own.
+  ServiceId Service;
+  /// Versions of the configuration before and after the entry.
+  std::vector<NamedServices> Before;
+  std::vector<NamedServices> After = {};
+  Duration Gap = std::chrono::seconds(1);
+  bool NamesAnUpstream = false;
+};
+
+class NamingTest : public DirectoryBuilderTest,
+                   public testing::WithParamInterface<NamingRow> {
+protected:
+  void apply(const std::vector<NamedServices> &Versions) {
+    for (const NamedServices &Each : Versions) {
+      RouteSet Next = routes(this->Builder.version() + 1);
+      Next.Services = Each.Listed;
+      Next.Routes[0].Targets.clear();
+      for (const ServiceId Service : Each.OfTheRoute) {
+        Next.Routes[0].Targets.push_back({Service, 1});
+      }
+      ASSERT_TRUE(this->Builder.onRoutes(std::move(Next), false, this->Now)
+                      .has_value());
+      this->Now += GetParam().Gap;
+    }
+  }
+
+  void deliver(const ListedUpstream &Entry, Delivery Way) {
+    switch (Way) {
+    case Delivery::Watch:
+      this->Builder.onUpstream(Entry);
+      break;
+    case Delivery::Listing:
+      this->Builder.onListing({upstream(1), Entry}, this->Now);
+      break;
+    case Delivery::Peer:
+      this->Builder.onPeerListing({Entry});
+      break;
+    }
+  }
+};
+
+// Guards against another writer's entry that takes the address of a living
+// upstream (review case 2), and against a service without a route, or one that
+// a route has left, whose upstreams are not known.
+TEST_P(NamingTest, OnlyEntriesOfNamedServicesTakeAnAddress) {
+  const NamingRow &Row = GetParam();
+  for (const Delivery Way :
+       {Delivery::Watch, Delivery::Listing, Delivery::Peer}) {
+    this->Builder = DirectoryBuilder();
+    this->apply(Row.Before);
+    this->Builder.onListing({upstream(1)}, this->Now);
+    ListedUpstream Entry = upstream(2);
+    Entry.Service = Row.Service;
+    Entry.Address = agentAddress(1);
+    Entry.Registered = Entry.Revision = 9;
+    this->deliver(Entry, Way);
+    this->apply(Row.After);
+    const auto InForce = this->Builder.current();
+    EXPECT_EQ(InForce->upstreams(Row.Service).size(),
+              Row.NamesAnUpstream ? 1U : 0U);
+    ASSERT_EQ(InForce->upstreams(OrderService).size(), 1U);
+    EXPECT_EQ(InForce->upstreams(OrderService)[0].State,
+              Row.NamesAnUpstream ? UpstreamState::Gone : UpstreamState::Ready);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, NamingTest,
+    testing::Values(
+        NamingRow{.Name = "unknownService",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService}, {OrderService}}}},
+        NamingRow{.Name = "listedWithoutARoute",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService}, {OrderService, ThirdService}}},
+                  .NamesAnUpstream = true},
+        NamingRow{.Name = "ofARoute",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService, ThirdService}}},
+                  .NamesAnUpstream = true},
+        NamingRow{.Name = "leftItsRoute",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService, ThirdService}}, {{OrderService}}},
+                  .NamesAnUpstream = true},
+        NamingRow{.Name = "leftItsRouteLongAgo",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService, ThirdService}},
+                             {{OrderService}},
+                             {{OrderService}},
+                             {{OrderService}}},
+                  .Gap = FlowLifetime},
+        NamingRow{.Name = "namedLater",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService}}},
+                  .After = {{{OrderService}, {ThirdService}}},
+                  .NamesAnUpstream = true},
+        NamingRow{.Name = "noLongerListed",
+                  .Service = ThirdService,
+                  .Before = {{{OrderService}, {ThirdService}}},
+                  .After = {{{OrderService}, {OrderService}}}},
+        // The configuration may arrive after the entries.
+        NamingRow{.Name = "beforeAnyConfiguration",
+                  .Service = ThirdService,
+                  .Before = {},
+                  .After = {{{OrderService}}}}),
+    [](const auto &Info) { return Info.param.Name; });
+
+ListedUpstream foreignEntry() {
+  ListedUpstream Each = upstream(1);
+  Each.Service = ThirdService;
+  return Each;
+}
+
+ListedUpstream unreadableEntry() {
+  ListedUpstream Each;
+  Each.Name = "i-1";
+  Each.IsReadable = false;
+  return Each;
+}
+
+struct OverwrittenRow {
+  std::string Name;
+  /// What happens after the entry of a ready upstream has been read.
+  void (*Change)(DirectoryBuilder &, Instant);
+  UpstreamState Expected;
+};
+
+class OverwrittenEntryTest
+    : public DirectoryBuilderTest,
+      public testing::WithParamInterface<OverwrittenRow> {};
+
+// Guards against the reset of flows of a living upstream over whose entry
+// another writer has written, and against new flows for it: the entry names no
+// upstream.
+TEST_P(OverwrittenEntryTest, UpstreamKeepsItsFlowsUntilItRegistersAgain) {
+  ASSERT_TRUE(this->Builder.onRoutes(routes(), false, this->Now).has_value());
+  this->Builder.onListing({upstream(1), upstream(2)}, this->Now);
+  GetParam().Change(this->Builder, this->Now);
+  EXPECT_EQ(this->stateOf(1), GetParam().Expected);
+  EXPECT_EQ(this->stateOf(2), UpstreamState::Ready);
+  EXPECT_EQ(this->Builder.completeness().Additions, 2U);
+  EXPECT_TRUE(this->Builder.current()->upstreams(ThirdService).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, OverwrittenEntryTest,
+    testing::Values(
+        OverwrittenRow{"unknownService",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(foreignEntry());
+                       },
+                       UpstreamState::Draining},
+        OverwrittenRow{"notReadable",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(unreadableEntry());
+                       },
+                       UpstreamState::Draining},
+        OverwrittenRow{
+            "inAListing",
+            [](DirectoryBuilder &Builder, Instant Now) {
+              Builder.onListing({unreadableEntry(), upstream(2)}, Now);
+            },
+            UpstreamState::Draining},
+        OverwrittenRow{"ofADrainingUpstream",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(
+                             upstream(1, UpstreamState::Draining));
+                         Builder.onUpstream(foreignEntry());
+                       },
+                       UpstreamState::Draining},
+        OverwrittenRow{"registeredAgain",
+                       [](DirectoryBuilder &Builder, Instant) {
+                         Builder.onUpstream(foreignEntry());
+                         Builder.onUpstream(upstream(1));
+                       },
+                       UpstreamState::Ready},
+        OverwrittenRow{"removed",
+                       [](DirectoryBuilder &Builder, Instant Now) {
+                         Builder.onUpstream(foreignEntry());
+                         Builder.onRemoved("i-1", Now);
+                       },
+                       UpstreamState::Gone},
+        OverwrittenRow{"missingFromAListing",
+                       [](DirectoryBuilder &Builder, Instant Now) {
+                         Builder.onUpstream(foreignEntry());
+                         Builder.onListing({upstream(2)}, Now);
+                       },
+                       UpstreamState::Gone},
+        OverwrittenRow{"afterItsRemoval",
+                       [](DirectoryBuilder &Builder, Instant Now) {
+                         Builder.onRemoved("i-1", Now);
+                         Builder.onUpstream(foreignEntry());
+                       },
+                       UpstreamState::Gone}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a directory that is never confirmed, or not complete, because
+// of an entry that names no upstream.
+TEST_F(DirectoryBuilderTest, ForeignEntriesAreNoUpstreamsToConfirm) {
+  ASSERT_TRUE(this->Builder.onRoutes(routes(), false, this->Now).has_value());
+  this->Builder.onListing({unreadableEntry()}, this->Now);
+  EXPECT_TRUE(this->Builder.isComplete());
+  EXPECT_TRUE(this->Builder.hasAll(std::vector{foreignEntry()}));
+  EXPECT_FALSE(this->Builder.hasAll(std::vector{upstream(1)}));
+}
+
 // Guards against a search that misses an upstream: each new one, and each
 // restart under the same name, must change the number of additions.
 TEST_F(DirectoryBuilderTest, AdditionsCountUpstreamsAndRestarts) {
@@ -471,9 +688,12 @@
   All[0].AvailabilityZone = "z-1";
   const std::vector<Evacuation> Evacuations = {evacuation(5),
                                                {"z-2", 6, false}};
-  const Directory From(routes(9), All, {}, Evacuations);
+  RouteSet Configuration = routes(9);
+  Configuration.Services = {OrderService, TemplateService};
+  const Directory From(Configuration, All, {}, Evacuations);
   const auto Parsed = readDirectory(writeDirectory(From, {true, 17}));
   ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed->Routes.Services, Configuration.Services);
   EXPECT_TRUE(Parsed->Source.IsAvailable);
   EXPECT_EQ(Parsed->Source.Revision, 17U);
   EXPECT_EQ(Parsed->Routes.Version, 9U);
@@ -483,6 +703,15 @@
   EXPECT_EQ(Parsed->Upstreams, (std::vector<ListedUpstream>{All[0], All[1]}));
 }
 
+// Guards against a balancer that rejects the directory of an older version.
+TEST(DirectoryExchangeTest, ListOfServicesIsOptional) {
+  const auto Parsed =
+      readDirectory(R"({"version":1,"source_available":true,"routes":[],
+                        "upstreams":[]})");
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_TRUE(Parsed->Routes.Services.empty());
+}
+
 class MalformedDirectoryTest : public testing::TestWithParam<std::string_view> {
 };
 
@@ -500,7 +729,9 @@
                     R"({"version":"x","source_available":true,"routes":[],
                         "upstreams":[]})",
                     R"({"version":1,"source_available":true,
-                        "routes":[[1,2,3,4,5,[]]],"upstreams":[]})"));
+                        "routes":[[1,2,3,4,5,[]]],"upstreams":[]})",
+                    R"({"version":1,"source_available":true,"routes":[],
+                        "services":["x"],"upstreams":[]})"));
 
 } // namespace
 } // namespace mulberryhoist
