Refuse transfers that a balancer's own link cannot carry

Cause: a request of 80 kB holds a link of 12 Mbit/s for 60 ms, and callers keep up to 16 packets of 1,200 bytes in flight on each flow. In a burst of uploads (2.1 to 2.5 times the usual) their windows queue on the links of the thin entry VMs; openings, lookups, requests of streams and replies to checks wait behind them, and uploads hold their slots for as long. Balancers then suspect living agents and send openings again, which adds load.

Change: LinkBudget, a decision type without I/O and clock (docs/design/link-budget.md), knows the link's rate from the settings (limits.link_mbps; 0: nothing is decided), the size of each route's requests and the transfers under way. An opening of a route whose requests exceed one window is refused at once when the windows under way would wait longer than a third of the short requests' objective, or the transfers would not be through within the route's own. Short requests, copies of an opening and the only transfer of a route are never refused for the link. On a loaded link the delay until an opening is sent again grows by at most 100 ms, the time limit of checks by at most 300 ms; unchanged otherwise. Decisions refused_link, link_full, link_clear; gauges of the link.

--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -26,6 +26,7 @@
   OwnerSought,        ///< The balancer has no cached owner of the flow.
   RefusedNoRoute,     ///< The address has no route.
   RefusedNoUpstream,  ///< The service has no ready upstream.
+  RefusedLink,        ///< The balancer's link cannot carry the request.
   PacketWithoutRoute, ///< No cached owner, and no route or candidate.
   OpeningTaken,       ///< An agent delivered the opening to its upstream.
   OpeningPassedOn,    ///< Forwarded: upstream busy, silent or leaving.
@@ -50,10 +51,12 @@
   UpstreamSilent,     ///< The upstream does not answer openings.
   UpstreamAnswers,    ///< The upstream answers again.
   PauseNoticed,       ///< The process was paused.
+  LinkFull,           ///< The balancer begins to refuse transfers.
+  LinkClear,          ///< No transfer was refused for a while.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 31;
+inline constexpr std::size_t DecisionCount = 34;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -9,6 +9,7 @@
 #include <stop_token>
 
 #include "mulberryhoist/directory.h"
+#include "mulberryhoist/metrics.h"
 #include "mulberryhoist/steer-io.h"
 #include "mulberryhoist/steering.h"
 
@@ -25,6 +26,42 @@
   /// When the process started, and the same in Unix time.
   Instant StartedAt;
   std::chrono::milliseconds StartedAtUnix{0};
+  /// The rate of the VM's link in bytes per second, each way; 0 if unknown.
+  std::uint64_t LinkRate = 0;
+};
+
+/// How often the gauges of the link are written.
+inline constexpr Duration LinkGaugePeriod = std::chrono::milliseconds(500);
+
+/// The gauges of a balancer's link.
+class LinkGauges {
+public:
+  explicit LinkGauges(prometheus::Registry &Metrics)
+      : Rate(makeGauge(Metrics, "link_rate_bytes_per_second",
+                       "Rate of the VM's link from the settings; 0: unknown")),
+        Use(makeGauge(Metrics, "link_use_bytes_per_second",
+                      "Estimated use of the link, of the busier direction")),
+        Transfers(makeGauge(Metrics, "link_transfers",
+                            "Requests above one window that are being sent")),
+        InFlight(makeGauge(Metrics, "link_transfer_window_bytes",
+                           "Bytes that these may have in flight at once")),
+        IsRefusing(
+            makeGauge(Metrics, "link_full", "1 while transfers are refused")) {}
+
+  void update(const LinkFigures &Figures) {
+    this->Rate.Set(Figures.RatePerSecond);
+    this->Use.Set(Figures.UsePerSecond);
+    this->Transfers.Set(static_cast<double>(Figures.Transfers));
+    this->InFlight.Set(Figures.InFlight);
+    this->IsRefusing.Set(Figures.IsRefusing ? 1 : 0);
+  }
+
+private:
+  prometheus::Gauge &Rate;
+  prometheus::Gauge &Use;
+  prometheus::Gauge &Transfers;
+  prometheus::Gauge &InFlight;
+  prometheus::Gauge &IsRefusing;
 };
 
 /// The sockets of a balancer and the event loop that serves them.
@@ -53,16 +90,22 @@
   Result<void> run(const std::stop_token &Stop) {
     SteeringLogic Logic({this->Settings.Peers.Address,
                          this->Settings.Peers.Port, this->Settings.StartedAt,
-                         this->Settings.StartedAtUnix});
+                         this->Settings.StartedAtUnix,
+                         this->Settings.LinkRate});
     SteerActionList Out;
     Out.reserve(SteerActionReserve);
     std::shared_ptr<const Directory> Applied;
+    Instant NextGaugesAt;
     while (!Stop.stop_requested()) {
       const Instant Now = now();
       this->updateDirectory(Logic, Applied);
       const bool HasNoPackets = this->readPackets(Logic, Out, Now);
       const bool HasNoMessages = this->readMessages(Logic, Out, Now);
       Logic.onTick(Now, Out);
+      if (Now >= NextGaugesAt) {
+        this->Gauges.update(Logic.linkFigures(Now));
+        NextGaugesAt = Now + LinkGaugePeriod;
+      }
       this->exchangeConfirmations(Logic, Out);
       this->Output.perform(Out, Now);
       if (HasNoPackets && HasNoMessages) {
@@ -85,7 +128,7 @@
       : Settings(Settings), Directories(Directories), Errors(Metrics),
         Decisions(Metrics, "opening_answer_seconds",
                   "Time until an agent accepted an opening"),
-        Packets(std::move(Packets)), Peers(std::move(Peers)),
+        Gauges(Metrics), Packets(std::move(Packets)), Peers(std::move(Peers)),
         Output(this->Peers, Settings.CallerPort, this->Decisions,
                this->Errors) {}
 
@@ -175,6 +218,7 @@
   SharedDirectory &Directories;
   ErrorCounters Errors;
   DecisionLog Decisions;
+  LinkGauges Gauges;
   DatagramSocket Packets;
   DatagramSocket Peers;
   SteerOutput<Format> Output;
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "mulberryhoist/directory.h"
+#include "mulberryhoist/link-budget.h"
 #include "mulberryhoist/packet-format.h"
 #include "mulberryhoist/steer-actions.h"
 
@@ -33,6 +34,14 @@
 /// the caller's retransmission time-out of 200 ms.
 inline constexpr Duration ResendDelay = std::chrono::milliseconds(25);
 
+/// The most that `ResendDelay` grows on a loaded link: openings are sent again
+/// well before the caller's retransmission after 200 ms.
+inline constexpr Duration MaxResendExtension = std::chrono::milliseconds(100);
+
+/// The most that `CheckTimeout` grows on a loaded link: an agent that is gone
+/// is found within the second after which a caller's try ends.
+inline constexpr Duration MaxCheckExtension = std::chrono::milliseconds(300);
+
 /// How often an opening is sent again before the caller retransmits it.
 inline constexpr int MaxResends = 2;
 
@@ -115,6 +124,8 @@
   /// When the process started, and the same in Unix time; 0 if unknown.
   Instant StartedAt;
   std::chrono::milliseconds StartedAtUnix{0};
+  /// The rate of the VM's link in bytes per second, each way; 0 if unknown.
+  std::uint64_t LinkRate = 0;
 };
 
 /// Why an agent is offered no new flows.
@@ -171,6 +182,9 @@
   /// Returns why an agent is avoided, or `None`.
   Avoidance avoidance(std::uint32_t Agent) const;
 
+  /// Returns what the budget of the VM's link measures.
+  LinkFigures linkFigures(Instant Now) const { return this->Link.figures(Now); }
+
   std::size_t unansweredCount() const {
     return this->UnansweredOpenings.size();
   }
@@ -279,7 +293,14 @@
     return Each.StartedAt + JointRestartSpan >= this->Settings.StartedAtUnix;
   }
   void sendTo(std::uint32_t Agent, const Steer &Header, PacketBytes Bytes,
-              SteerActionList &Out) const;
+              Instant Now, SteerActionList &Out);
+  /// Returns whether the VM's link can carry what an opening brings, and tells
+  /// the caller if not.
+  bool admitToLink(const Route &Matched, const RoutedPacket &Packet,
+                   Instant Now, SteerActionList &Out);
+  Duration resendDelay(Instant Now) const;
+  Duration checkTimeout(Instant Now) const;
+  void reportLink(Instant Now, SteerActionList &Out);
   FlowOwners *findOwners(const FlowKey &Key);
   FlowOwners &addOwners(const FlowKey &Key, Instant Now);
   void onAgentResponse(std::uint32_t Agent, bool Leaving, Instant Now,
@@ -296,6 +317,8 @@
   void detectPause(Instant Now, SteerActionList &Out);
 
   SteeringSettings Settings;
+  LinkBudget Link;
+  bool IsLinkFull = false;
   std::shared_ptr<const Directory> InForce;
   /// Whether all upstreams started together with the balancer, so that no flow
   /// is older than it.
--- a/src/decision-log.cc
+++ b/src/decision-log.cc
@@ -39,6 +39,8 @@
   case Decision::UpstreamSilent:
   case Decision::UpstreamAnswers:
   case Decision::PauseNoticed:
+  case Decision::LinkFull:
+  case Decision::LinkClear:
     return LineKind::StateChange;
   case Decision::OpeningResent:
   case Decision::OpeningPassedOn:
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -99,7 +99,8 @@
 
 } // namespace
 
-SteeringLogic::SteeringLogic(SteeringSettings Settings) : Settings(Settings) {}
+SteeringLogic::SteeringLogic(SteeringSettings Settings)
+    : Settings(Settings), Link(Settings.LinkRate) {}
 
 void SteeringLogic::onDirectory(std::shared_ptr<const Directory> Next) {
   this->InForce = std::move(Next);
@@ -117,6 +118,8 @@
   if (this->InForce == nullptr) {
     return;
   }
+  this->Link.onPacket(Packet.View.callerFlow(), Packet.View,
+                      Packet.Bytes.size(), Now);
   if (Packet.View.isOpening()) {
     this->onOpening(Packet, Now, Out);
   } else {
@@ -125,10 +128,52 @@
 }
 
 void SteeringLogic::sendTo(std::uint32_t Agent, const Steer &Header,
-                           PacketBytes Bytes, SteerActionList &Out) const {
+                           PacketBytes Bytes, Instant Now,
+                           SteerActionList &Out) {
+  this->Link.onSent(Bytes.size(), Now);
   Out.emplace_back(SendSteer{{Agent, this->Settings.PeerPort}, Header, Bytes});
 }
 
+bool SteeringLogic::admitToLink(const Route &Matched,
+                                const RoutedPacket &Packet, Instant Now,
+                                SteerActionList &Out) {
+  const FlowKey Key = Packet.View.callerFlow();
+  const RouteTerms Terms = {Key.Service, Matched.Goal, Matched.Timeout,
+                            Matched.Class};
+  const bool IsCopy = Packet.Waited != Duration::zero();
+  if (this->Link.admit(Key, Packet.View.Sequence, Terms, IsCopy, Now)) {
+    return true;
+  }
+  Out.emplace_back(record(Decision::RefusedLink, Key));
+  Out.emplace_back(RejectOpening{Key});
+  this->reportLink(Now, Out);
+  return false;
+}
+
+void SteeringLogic::reportLink(Instant Now, SteerActionList &Out) {
+  const bool IsFull = this->Link.isRefusing(Now);
+  if (IsFull == this->IsLinkFull) {
+    return;
+  }
+  this->IsLinkFull = IsFull;
+  RecordDecision Record =
+      record(IsFull ? Decision::LinkFull : Decision::LinkClear, {},
+             this->Settings.Address);
+  Record.Load = static_cast<std::uint32_t>(this->Link.figures(Now).Transfers);
+  Record.Age = this->Link.queueDelay(Now);
+  Out.emplace_back(Record);
+}
+
+Duration SteeringLogic::resendDelay(Instant Now) const {
+  return ResendDelay +
+         std::min(2 * this->Link.queueDelay(Now), MaxResendExtension);
+}
+
+Duration SteeringLogic::checkTimeout(Instant Now) const {
+  return CheckTimeout +
+         std::min(2 * this->Link.queueDelay(Now), MaxCheckExtension);
+}
+
 void SteeringLogic::onOpening(const RoutedPacket &Packet, Instant Now,
                               SteerActionList &Out) {
   const FlowKey Key = Packet.View.callerFlow();
@@ -151,7 +196,7 @@
     Header.Final = true;
     Out.emplace_back(
         record(Decision::OpeningRepeated, Key, Owners->First.Agent));
-    this->sendTo(Owners->First.Agent, Header, Packet.Bytes, Out);
+    this->sendTo(Owners->First.Agent, Header, Packet.Bytes, Now, Out);
     return;
   }
   RankedCandidates Order;
@@ -171,6 +216,9 @@
     Out.emplace_back(RejectOpening{Key});
     return;
   }
+  if (!this->admitToLink(*Matched, Packet, Now, Out)) {
+    return;
+  }
   sortAndDeduplicate(Order);
   const auto Avoided =
       std::ranges::find(Order, VisitOrder::Deferred, &RankedCandidate::Order);
@@ -182,7 +230,7 @@
   setAlternatives(Order, MaxOpeningCandidates, Header);
   const Candidate First = Order.front().Target;
   Out.emplace_back(record(Decision::OpeningSent, Key, First.Agent));
-  this->sendTo(First.Agent, Header, Packet.Bytes, Out);
+  this->sendTo(First.Agent, Header, Packet.Bytes, Now, Out);
   if (this->UnansweredOpenings.size() >= MaxUnansweredOpenings) {
     return;
   }
@@ -227,7 +275,7 @@
   if (Owners->Second.Agent != 0) {
     (void)Header.Next.add({Owners->Second.Agent, 1});
   }
-  this->sendTo(Owners->First.Agent, Header, Packet.Bytes, Out);
+  this->sendTo(Owners->First.Agent, Header, Packet.Bytes, Now, Out);
 }
 
 void SteeringLogic::locateOwner(const RoutedPacket &Packet, Instant Now,
@@ -332,7 +380,7 @@
     (void)Header.Next.add(Each.Remaining[I]);
   }
   Header.Slots = Each.Remaining.front().Slots;
-  this->sendTo(Each.Remaining.front().Agent, Header, Bytes, Out);
+  this->sendTo(Each.Remaining.front().Agent, Header, Bytes, Now, Out);
 }
 
 void SteeringLogic::forgetOwner(const FlowKey &Key, std::uint32_t Agent,
@@ -590,6 +638,7 @@
   Record.Age = Now - Opening->second.SentAt;
   Out.emplace_back(Record);
   this->UnansweredOpenings.erase(Opening);
+  this->Link.onRefused(Body.Flow.Key);
 }
 
 Avoidance SteeringLogic::avoidance(std::uint32_t Agent) const {
@@ -649,6 +698,7 @@
   Health.CheckSentAt = Now;
   Out.emplace_back(SendSteer{
       {Agent, this->Settings.PeerPort}, Check{this->NextCheckSequence++}, {}});
+  this->Link.onSent(0, Now);
   const Instant DueAt = Now + CheckTimeout;
   this->NextCheckAt =
       this->NextCheckAt ? std::min(*this->NextCheckAt, DueAt) : DueAt;
@@ -683,7 +733,7 @@
   Out.emplace_back(Record);
   Each.Header = Header;
   Each.First = First;
-  this->sendTo(First.Agent, Header, Each.Bytes, Out);
+  this->sendTo(First.Agent, Header, Each.Bytes, Now, Out);
 }
 
 void SteeringLogic::resendOverdue(Instant Now, SteerActionList &Out) {
@@ -696,6 +746,12 @@
       continue;
     }
     UnansweredOpening &Each = Found->second;
+    // Entries stay ordered by time: an extension is a further `ResendDelay`.
+    const Duration Delay = this->resendDelay(Now);
+    if (Delay > ResendDelay && Now - Each.SentAt < (Each.Resends + 1) * Delay) {
+      this->ResendQueue.push_back({Now + ResendDelay, Next.Flow, Next.Initial});
+      continue;
+    }
     this->checkCandidates(Each, Now, Out);
     if (Each.Resends == MaxResends) {
       this->UnansweredOpenings.erase(Found);
@@ -712,8 +768,9 @@
     return;
   }
   this->NextCheckAt.reset();
+  const Duration Timeout = this->checkTimeout(Now);
   for (auto &[Agent, Health] : this->Agents) {
-    if (Health.IsCheckPending && Now - Health.CheckSentAt >= CheckTimeout) {
+    if (Health.IsCheckPending && Now - Health.CheckSentAt >= Timeout) {
       Health.IsCheckPending = false;
       ++Health.MissedChecks;
       if (Health.MissedChecks >= SuspectedAfterChecks) {
@@ -723,7 +780,7 @@
         this->sendCheck(Agent, Now, Out);
       }
     } else if (Health.IsCheckPending) {
-      const Instant DueAt = Health.CheckSentAt + CheckTimeout;
+      const Instant DueAt = Health.CheckSentAt + Timeout;
       this->NextCheckAt =
           this->NextCheckAt ? std::min(*this->NextCheckAt, DueAt) : DueAt;
     }
@@ -765,6 +822,7 @@
   this->resendOverdue(Now, Out);
   this->processChecks(Now, Out);
   this->processSearches(Now, Out);
+  this->reportLink(Now, Out);
 }
 
 std::optional<Instant> SteeringLogic::nextDue() const {
--- a/test/platform-adapter-test.cc
+++ b/test/platform-adapter-test.cc
@@ -181,6 +181,8 @@
 ready = "10.1.0.12:8167"
 [bounds]
 stable_ms = 5000
+[limits]
+link_mbps = 12.0
 [platform]
 addr = "10.200.1.7:8169"
 )";
@@ -195,6 +197,18 @@
   EXPECT_EQ(formatEndpoint(*Read->FromUpstream), "10.1.0.12:8162");
   EXPECT_FALSE(Read->Control.has_value());
   EXPECT_EQ(Read->StableTime, milliseconds(5000));
+  EXPECT_EQ(Read->LinkRate, 1'500'000U);
+}
+
+// Guards against a budget for a link whose rate is absent or nonsense.
+TEST(BootSettingsTest, LinkRateIsUnknownUnlessPositive) {
+  for (const std::string_view Value : {"0", "-1.0", "1e300", "nan", "\"x\""}) {
+    std::string Text(GoodSettings);
+    Text.replace(Text.find("12.0"), 4, Value);
+    const auto Read = parseBootSettings(Text);
+    ASSERT_TRUE(Read.has_value()) << Read.error().Detail;
+    EXPECT_EQ(Read->LinkRate, 0U) << Value;
+  }
 }
 
 struct BadSettingsRow {
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -707,5 +707,86 @@
                          .IsSearched = true}),
     [](const auto &Info) { return Info.param.Name; });
 
+struct LoadedLinkRow {
+  std::uint64_t LinkRate;
+  /// Whether the time limits follow the wait on the link.
+  bool IsExtended;
+};
+
+class LoadedLinkTest : public SteeringTest,
+                       public testing::WithParamInterface<LoadedLinkRow> {
+protected:
+  void SetUp() override {
+    this->Logic = SteeringLogic(
+        {BalancerAddress, PeerPort, this->Now, UnixStart, GetParam().LinkRate});
+    SteeringTest::SetUp();
+  }
+
+  /// Forwards an upload of 80 kB in one moment.
+  void upload(std::uint16_t Port) {
+    const std::vector<std::uint8_t> Bytes(1232);
+    (void)this->packet(opening(Port));
+    (void)this->taken(1, Port, 500);
+    for (int I = 0; I < 67; ++I) {
+      RoutedPacket Each = callerPacket(Port, 501, true);
+      Each.Bytes = Bytes;
+      (void)this->packet(Each);
+    }
+  }
+};
+
+// Guards against openings sent again, and living agents suspected, because the
+// balancer's own link is slow; and against a limit that grows without bound.
+TEST_P(LoadedLinkTest, TimeLimitsFollowTheLink) {
+  this->upload(9);
+  (void)this->packet(opening(10));
+  const auto IsSuspected = [this] {
+    return this->Logic.avoidance(agentAddress(1)) == Avoidance::Suspected;
+  };
+  EXPECT_EQ(sent<Steer>(this->tick(ResendDelay)).empty(),
+            GetParam().IsExtended);
+  std::size_t Resends = 0;
+  constexpr Duration CallerRetransmits = milliseconds(200);
+  for (Duration At = ResendDelay + milliseconds(20); At < CallerRetransmits;
+       At += milliseconds(20)) {
+    Resends += sent<Steer>(this->tick(milliseconds(20))).size();
+  }
+  EXPECT_GE(Resends, 1U);
+  EXPECT_EQ(IsSuspected(), !GetParam().IsExtended);
+  for (Duration Passed{}; Passed < 2 * (CheckTimeout + MaxCheckExtension);
+       Passed += milliseconds(20)) {
+    (void)this->tick(milliseconds(20));
+  }
+  EXPECT_TRUE(IsSuspected());
+}
+
+INSTANTIATE_TEST_SUITE_P(Links, LoadedLinkTest,
+                         testing::Values(LoadedLinkRow{200'000, true},
+                                         LoadedLinkRow{0, false},
+                                         LoadedLinkRow{25'000'000, false}));
+
+// Guards against a transfer that is sent on although the link is full, and
+// against a reset for a copy that may have been sent on elsewhere.
+TEST_P(LoadedLinkTest, TransferBeyondTheLinkIsRefusedAtOnce) {
+  for (const std::uint16_t Port : {9, 10}) {
+    (void)this->packet(opening(Port));
+    (void)this->taken(1, Port, 500);
+    RoutedPacket End = callerPacket(Port, 501, true);
+    End.View.Sequence = Port + 80'000U;
+    (void)this->packet(End);
+    (void)this->packet(callerPacket(Port, 801, false));
+  }
+  (void)this->packet(opening(11));
+  const auto Out = this->packet(opening(12));
+  EXPECT_EQ(only<RejectOpening>(Out).size(), GetParam().IsExtended ? 1U : 0U);
+  EXPECT_EQ(sent<Steer>(Out).empty(), GetParam().IsExtended);
+  EXPECT_EQ(decided(Out, Decision::RefusedLink), GetParam().IsExtended);
+  EXPECT_EQ(decided(Out, Decision::LinkFull), GetParam().IsExtended);
+  EXPECT_FALSE(
+      sent<Steer>(this->packet(opening(12, milliseconds(200)))).empty());
+  EXPECT_EQ(decided(this->tick(ClearDelay), Decision::LinkClear),
+            GetParam().IsExtended);
+}
+
 } // namespace
 } // namespace mulberryhoist
