--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -26,6 +26,7 @@
   OwnerSought,        ///< The balancer has no cached owner of the flow.
   RefusedNoRoute,     ///< The address has no route.
   RefusedNoUpstream,  ///< The service has no ready upstream.
+  RefusedLink,        ///< The balancer's link cannot carry the request.
   PacketWithoutRoute, ///< No cached owner, and no route or candidate.
   OpeningTaken,       ///< An agent delivered the opening to its upstream.
   OpeningPassedOn,    ///< Forwarded: upstream busy, silent or leaving.
@@ -56,10 +57,12 @@
   IntakeOpened,       ///< The upstream takes new flows again.
   OpeningTurnedAway,  ///< Passed on or given back: the intake is closed.
   OpeningDisplaced,   ///< An agent gave the opening back; placed anew.
+  LinkFull,           ///< The balancer begins to refuse transfers.
+  LinkClear,          ///< No transfer was refused for a while.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 36;
+inline constexpr std::size_t DecisionCount = 39;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/src/decision-log.cc
+++ b/src/decision-log.cc
@@ -41,6 +41,8 @@
   case Decision::PauseNoticed:
   case Decision::IntakeClosed:
   case Decision::IntakeOpened:
+  case Decision::LinkFull:
+  case Decision::LinkClear:
     return LineKind::StateChange;
   case Decision::OpeningResent:
   case Decision::OpeningPassedOn:
