Shed openings by what their refusal costs callers

Openings without a free slot waited newest first by class, and one mean stood for all routes.

OpeningQueue now plans by the time left to the objective, leaves out what is worth least for its slot time, holds nothing beyond the life of an opening, and refuses what can't meet its deadline. Slot times are estimated per route; one sample counts four times the mean at most. Each waiting class gets a bounded share. /dump shows counts per class and estimates per route.

--- a/include/mulberryhoist/service-time.h
+++ b/include/mulberryhoist/service-time.h
@@ -5,6 +5,7 @@
 #ifndef MULBERRYHOIST_SERVICE_TIME_H
 #define MULBERRYHOIST_SERVICE_TIME_H
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,11 @@
 /// Longer samples come from broken requests and are ignored.
 inline constexpr Duration MaxServiceTimeSample = std::chrono::seconds(2);
 
+/// Bound of a sample as a multiple of the mean, so that one long request among
+/// many does not make all others late; a change of speed is followed within
+/// some ten samples all the same.
+inline constexpr int MaxSampleFactor = 4;
+
 /// An exponential moving average of the time that a request occupies a slot.
 class ServiceTimeEstimate {
 public:
@@ -54,7 +60,9 @@
 private:
   void add(Duration Sample) {
     if (Sample < MaxServiceTimeSample) {
-      this->Mean += (Sample - this->Mean) / ServiceTimeSmoothing;
+      this->Mean +=
+          (std::min(Sample, this->Mean * MaxSampleFactor) - this->Mean) /
+          ServiceTimeSmoothing;
     }
   }
 
--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -100,6 +100,8 @@
   std::uint32_t Load = 0;
   std::uint32_t Slots = 0;
   std::uint32_t Hops = 0;
+  /// The class of the opening's route.
+  std::uint32_t Class = 0;
   /// The age of the deciding input, such as the time since the last reply.
   Duration Age{};
 };
--- a/include/mulberryhoist/steering-agent-data.h
+++ b/include/mulberryhoist/steering-agent-data.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <stop_token>
 
@@ -26,6 +27,9 @@
   std::uint16_t CallerPort = 0;
 };
 
+/// Interval at which the state that `dump` shows is copied.
+inline constexpr Duration CopyPeriod = std::chrono::milliseconds(250);
+
 /// The sockets of an agent and the event loop that serves them.
 template <PacketFormat Format> class SteeringAgentData {
 public:
@@ -64,6 +68,7 @@
       this->OverdueGauge.Set(Logic.overdueCount());
       this->FlowGauge.Set(static_cast<double>(Logic.flowCount()));
       this->ServiceTimeGauge.Set(toSeconds(Logic.serviceTime()));
+      this->copyAdmissions(Logic, Now);
       if (Logic.isDrained(Now)) {
         this->Drained = true;
       }
@@ -93,7 +98,9 @@
                      {"overdue", this->OverdueGauge.Value()},
                      {"flows", this->FlowGauge.Value()},
                      {"service_time_s", this->ServiceTimeGauge.Value()},
-                     {"stopping", this->Terminating.load()}});
+                     {"stopping", this->Terminating.load()},
+                     {"classes", this->dumpClasses()},
+                     {"routes", this->dumpRoutes()}});
   }
 
   /// Returns true once the process may exit. Thread-safe.
@@ -120,6 +127,45 @@
         Output(this->Peers, Settings.CallerPort, this->Decisions, this->Errors),
         Service(Settings.Service), Upstream(Settings.Upstream) {}
 
+  /// Copies the counts and estimates for `dump` a few times a second.
+  void copyAdmissions(const SteeringAgentLogic &Logic, Instant Now) {
+    if (Now < this->NextCopy) {
+      return;
+    }
+    this->NextCopy = Now + CopyPeriod;
+    const std::lock_guard Lock(this->AdmissionsMutex);
+    this->Admissions = Logic.admissionCounts();
+    this->Routes = Logic.routeWork();
+  }
+
+  nlohmann::json dumpClasses() const {
+    const std::lock_guard Lock(this->AdmissionsMutex);
+    nlohmann::json Classes = nlohmann::json::array();
+    for (std::size_t Class = 0; Class < AdmissionClasses; ++Class) {
+      const ClassAdmissions &Each = this->Admissions.at(Class);
+      if (Each.Held + Each.Taken + Each.Refused != 0) {
+        Classes.push_back(
+            {{"class", Class},
+             {"held", Each.Held},
+             {"taken", Each.Taken},
+             {"refused", Each.Refused},
+             {"held_before_refusal_s", toSeconds(Each.HeldBeforeRefusal)}});
+      }
+    }
+    return Classes;
+  }
+
+  nlohmann::json dumpRoutes() const {
+    const std::lock_guard Lock(this->AdmissionsMutex);
+    nlohmann::json Routes = nlohmann::json::array();
+    for (const RouteWork &Each : this->Routes) {
+      Routes.push_back(
+          {{"address", formatEndpoint(Each.Route)},
+           {"slot_time_s", Each.Factor * this->ServiceTimeGauge.Value()}});
+    }
+    return Routes;
+  }
+
   void applyPendingChanges(SteeringAgentLogic &Logic, SteerActionList &Out,
                            Instant Now) {
     Logic.onService(this->Service);
@@ -195,6 +241,10 @@
   std::atomic<Endpoint> Upstream;
   std::atomic<bool> Terminating{false};
   std::atomic<bool> Drained{false};
+  mutable std::mutex AdmissionsMutex;
+  AdmissionCounts Admissions = {};
+  std::vector<RouteWork> Routes;
+  Instant NextCopy;
 };
 
 } // namespace mulberryhoist
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mulberryhoist/admission/route-work.h"
 #include "mulberryhoist/opening-queue.h"
 #include "mulberryhoist/packet-format.h"
 #include "mulberryhoist/request-tracker.h"
@@ -85,6 +86,17 @@
   std::size_t MaxFlows = 65'536;
 };
 
+/// What happened to the openings of one class that found no free slot.
+struct ClassAdmissions {
+  std::uint64_t Held = 0;
+  std::uint64_t Taken = 0;
+  std::uint64_t Refused = 0;
+  /// How long refused openings were held in total.
+  Duration HeldBeforeRefusal{};
+};
+
+using AdmissionCounts = std::array<ClassAdmissions, AdmissionClasses>;
+
 /// The decision logic of one agent.
 class SteeringAgentLogic {
 public:
@@ -122,6 +134,14 @@
   /// Returns the estimated mean time that a request occupies a slot.
   Duration serviceTime() const { return this->ServiceTime.mean(); }
 
+  /// Returns the estimated work of each route.
+  const std::vector<RouteWork> &routeWork() const {
+    return this->RouteEstimates.all();
+  }
+
+  /// Returns what happened to the openings of each class so far.
+  const AdmissionCounts &admissionCounts() const { return this->Admissions; }
+
   std::size_t flowCount() const { return this->Flows.size(); }
 
   /// Returns the number of requests that count as load for longer than the
@@ -208,6 +228,9 @@
   void checkLoad(const FlowKey &Key, SteeringAgentFlow &Flow, Instant Now,
                  SteerActionList &Out);
   void erase(FlowMap::iterator Found);
+  ClassAdmissions &admissions(const Steer &Header) {
+    return this->Admissions.at(admissionClass(Header));
+  }
   void addBalancer(std::uint32_t Balancer);
   RecordDecision record(Decision Kind, const FlowKey &Flow,
                         const Steer &Header) const;
@@ -223,6 +246,8 @@
   std::uint32_t Load = 0;
   std::uint32_t Overdue = 0;
   ServiceTimeEstimate ServiceTime;
+  RouteWorkEstimates RouteEstimates;
+  AdmissionCounts Admissions = {};
   /// Slots of the upstream according to the last received message.
   std::uint32_t Slots = 1;
   std::vector<ForwardedPacket> ForwardedPackets;
--- a/src/decision-log.cc
+++ b/src/decision-log.cc
@@ -112,6 +112,7 @@
        {"load", std::int64_t{Each.Load}},
        {"slots", std::int64_t{Each.Slots}},
        {"hops", std::int64_t{Each.Hops}},
+       {"class", std::int64_t{Each.Class}},
        {"age_ms", AgeMs},
        {"version", static_cast<std::int64_t>(Version)}});
 }
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -22,6 +22,7 @@
   Record.Load = this->Load;
   Record.Slots = Header.Slots;
   Record.Hops = Header.Hops;
+  Record.Class = Header.Class;
   return Record;
 }
 
@@ -162,9 +163,11 @@
     }
   }
   const FlowIncarnation Flow = {Packet.View.callerFlow(), Packet.View.Sequence};
-  switch (this->HeldOpenings.place(Header, Packet.Waited,
-                                   this->upstreamLoad(Header.Slots), Now)) {
+  switch (this->HeldOpenings.place(
+      Header, Packet.Waited, this->upstreamLoad(Header.Slots), Now,
+      this->RouteEstimates.factor(Flow.Key.Service))) {
   case OpeningQueue::Placement::Take:
+    ++this->admissions(Header).Taken;
     this->take(Header, Flow, Packet.Bytes, Now, Out);
     return;
   case OpeningQueue::Placement::Hold:
@@ -183,6 +186,9 @@
       this->record(Decision::OpeningRefused, Flow.Key, Header);
   Record.Age = HeldFor;
   Out.emplace_back(Record);
+  ClassAdmissions &Counts = this->admissions(Header);
+  ++Counts.Refused;
+  Counts.HeldBeforeRefusal += HeldFor;
   Out.emplace_back(RejectOpening{Flow.Key});
   Out.emplace_back(
       SendSteer{{Header.Balancer, this->Settings.PeerPort}, Refused{Flow}, {}});
@@ -198,6 +204,8 @@
   Opening.StartedAt = Now - Packet.Waited;
   Opening.ExpiresAt =
       Opening.StartedAt + holdLimit(Header, this->upstreamLoad(Header.Slots));
+  Opening.WorkFactor = this->RouteEstimates.factor(Opening.Flow.Key.Service);
+  ++this->admissions(Header).Held;
   Out.emplace_back(
       this->record(Decision::OpeningHeld, Opening.Flow.Key, Header));
   // Keeps the balancer from offering the opening to other agents meanwhile.
@@ -216,8 +224,14 @@
   while (const auto Expired = this->HeldOpenings.takeExpired(ExpiredAt)) {
     this->refuse(Expired->Header, Expired->Flow, Now - Expired->HeldSince, Out);
   }
+  while (const auto Unservable = this->HeldOpenings.takeUnservable(
+             this->upstreamLoad(this->Slots), Now)) {
+    this->refuse(Unservable->Header, Unservable->Flow,
+                 Now - Unservable->HeldSince, Out);
+  }
   while (auto Next = this->HeldOpenings.takeNext(
              this->upstreamLoad(this->Slots), Now)) {
+    ++this->admissions(Next->Header).Taken;
     this->ReleasedBytes.push_back(std::move(Next->Bytes));
     this->take(Next->Header, Next->Flow, this->ReleasedBytes.back(), Now, Out);
   }
@@ -324,6 +338,8 @@
     const Duration Elapsed = Now - Flow.LoadSince;
     Out.emplace_back(ObserveLatency{Elapsed});
     if (Flow.FoundFreeSlot) {
+      this->RouteEstimates.addSlotTime(Packet.upstreamFlow().Service, Elapsed,
+                                       this->ServiceTime.mean());
       this->ServiceTime.addUnqueued(Elapsed);
     }
     this->ServiceTime.addResponse(this->Load, this->Slots, Now);
@@ -511,6 +527,7 @@
   this->Load = 0;
   this->Overdue = 0;
   this->ServiceTime = {};
+  this->RouteEstimates = {};
   this->UnansweredOpenings = 0;
   this->Silent = false;
   std::fill(this->ForwardedPackets.begin(), this->ForwardedPackets.end(),
