--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -356,6 +356,28 @@
   EXPECT_EQ(only<RejectOpening>(Out).size(), 1U);
 }
 
+// Guards against an operator who can't see which class gives way, and how long
+// its callers waited for it.
+TEST_F(SteeringAgentTest, CountsWhatHappensToEachClass) {
+  this->fillSlots();
+  Steer Last = header();
+  Last.Final = true;
+  Last.Class = 2;
+  (void)this->steer(Last, opening(9, milliseconds(600)));
+  Last.Class = 1;
+  (void)this->steer(Last, opening(10, milliseconds(1150)));
+  EXPECT_EQ(this->Agent.admissionCounts()[2].Held, 1U);
+  EXPECT_EQ(this->Agent.admissionCounts()[1].Refused, 1U);
+  this->Now += milliseconds(500);
+  SteerActionList Out;
+  this->Agent.onTick(this->Now, Out);
+  EXPECT_EQ(this->Agent.admissionCounts()[2].Refused, 1U);
+  EXPECT_EQ(this->Agent.admissionCounts()[2].HeldBeforeRefusal,
+            milliseconds(500));
+  EXPECT_EQ(this->Agent.admissionCounts()[1].HeldBeforeRefusal,
+            milliseconds(0));
+}
+
 // Guards against a balancer that offers a refused opening to other agents.
 TEST_F(SteeringAgentTest, RefusalIsReportedToTheBalancer) {
   const auto ExpectNotice = [](const SteerActionList &Out) {
