--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -485,6 +485,28 @@
   EXPECT_EQ(only<RejectOpening>(Out).size(), 1U);
 }
 
+// Guards against an operator who can't see which class gives way, and how long
+// its callers waited for it.
+TEST_F(SteeringAgentTest, CountsWhatHappensToEachClass) {
+  this->fillSlots();
+  Steer Last = header();
+  Last.Final = true;
+  Last.Class = 2;
+  (void)this->steer(Last, opening(9, milliseconds(600)));
+  Last.Class = 1;
+  (void)this->steer(Last, opening(10, milliseconds(1150)));
+  EXPECT_EQ(this->Agent.admissionCounts()[2].Held, 1U);
+  EXPECT_EQ(this->Agent.admissionCounts()[1].Refused, 1U);
+  this->Now += milliseconds(500);
+  SteerActionList Out;
+  this->Agent.onTick(this->Now, Out);
+  EXPECT_EQ(this->Agent.admissionCounts()[2].Refused, 1U);
+  EXPECT_EQ(this->Agent.admissionCounts()[2].HeldBeforeRefusal,
+            milliseconds(500));
+  EXPECT_EQ(this->Agent.admissionCounts()[1].HeldBeforeRefusal,
+            milliseconds(0));
+}
+
 // Guards against a balancer that offers a refused opening to other agents.
 TEST_F(SteeringAgentTest, RefusalIsReportedToTheBalancer) {
   const auto ExpectNotice = [](const SteerActionList &Out) {
@@ -567,14 +589,16 @@
 // Guards against an opening that is accepted, held and then cut off without an
 // answer by a planned stop.
 TEST_F(SteeringAgentTest, StoppingAgentRefusesWhatItStillHolds) {
+  SteerActionList Out;
+  this->Agent.onTerminate(this->Now, Out);
+  this->Now += SteeringAgentDrainDeadline - HeldMargin - milliseconds(200);
   this->fillSlots();
   Steer Last = header();
   Last.Final = true;
   Last.Timeout = std::chrono::seconds(60);
-  (void)this->steer(Last, opening(9, milliseconds(600)));
-  SteerActionList Out;
-  this->Agent.onTerminate(this->Now, Out);
-  this->Now += SteeringAgentDrainDeadline - HeldMargin - milliseconds(1);
+  Out = this->steer(Last, opening(9, milliseconds(600)));
+  EXPECT_TRUE(decided(Out, Decision::OpeningHeld));
+  this->Now += milliseconds(199);
   Out.clear();
   this->Agent.onTick(this->Now, Out);
   EXPECT_TRUE(only<RejectOpening>(Out).empty());
