Limit what a cold upstream gets to what it bears

Cause: balancers and agents did not know of cold upstreams (FAILBACK).

Change: the directory keeps until when an upstream is cold, and the configuration's rate of its service; balancers give both to each other. The agent passes openings beyond the limit on; the last candidate holds those whose turn comes in time and refuses the others. Further requests of open flows count and are never held. Without a rate, messages have no further bytes, entries change nothing, and the agent admits all. The settings bounds.cold_excess and bounds.cold_slack are read.

--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -6,6 +6,7 @@
 #ifndef MULBERRYHOIST_DIRECTORY_H
 #define MULBERRYHOIST_DIRECTORY_H
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <concepts>
@@ -68,6 +69,9 @@
   std::vector<Route> Routes;
   /// All services that the configuration names, also those without a route.
   std::vector<ServiceId> Services{};
+  /// How many requests per second a cold upstream of a service bears; a service
+  /// that is missing has no limit.
+  std::unordered_map<ServiceId, double> ColdRates{};
 };
 
 /// Whether an upstream takes new flows.
@@ -101,11 +105,21 @@
   /// Whether all fields could be read; if not, only the name and the revisions
   /// are valid.
   bool IsReadable = true;
+  /// Until when the upstream is cold, if that limits what it gets.
+  Instant ColdUntil{};
 
   friend bool operator==(const ListedUpstream &,
                          const ListedUpstream &) = default;
 };
 
+/// Returns how long an upstream stays cold, 0 if it is not.
+inline std::chrono::milliseconds coldLeft(const ListedUpstream &Each,
+                                          Instant Now) {
+  return std::max(
+      std::chrono::ceil<std::chrono::milliseconds>(Each.ColdUntil - Now),
+      std::chrono::milliseconds(0));
+}
+
 /// Identifies the routes and upstreams of a directory. A search has covered all
 /// upstreams that may hold its flow if the edition has not changed since.
 struct DirectoryEdition {
@@ -178,10 +192,16 @@
   /// Returns the services that the configuration names besides its routes.
   std::span<const ServiceId> namedServices() const { return this->Named; }
 
+  /// `RouteSet::ColdRates`.
+  const std::unordered_map<ServiceId, double> &coldRates() const {
+    return this->ColdRates;
+  }
+
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
   std::vector<ServiceId> Named;
+  std::unordered_map<ServiceId, double> ColdRates;
   Completeness Listing;
   std::unordered_map<Endpoint, std::size_t> ByAddress;
   std::unordered_map<ServiceId, std::vector<ListedUpstream>> ByService;
--- a/include/mulberryhoist/steer-wire.h
+++ b/include/mulberryhoist/steer-wire.h
@@ -6,6 +6,7 @@
 #define MULBERRYHOIST_STEER_WIRE_H
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -54,6 +55,8 @@
   std::uint32_t Agent = 0;
   /// Requests that the upstream beside the agent processes concurrently.
   std::uint32_t Slots = 1;
+  /// How long the upstream stays cold; set only where that limits it.
+  std::chrono::milliseconds ColdLeft{0};
 
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
@@ -93,6 +96,11 @@
   std::uint32_t Hops = 0;
   /// The balancer's number of the search that the message is part of, or 0.
   std::uint32_t Search = 0;
+  /// Requests in any second that a cold upstream of the service may get; 0 if
+  /// there is no limit.
+  std::uint32_t ColdLimit = 0;
+  /// How long the upstream beside the receiver stays cold.
+  std::chrono::milliseconds ColdLeft{0};
 };
 
 /// Notifies a balancer that the sender is the owner of a flow or holds its
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mulberryhoist/cold-limit.h"
 #include "mulberryhoist/opening-queue.h"
 #include "mulberryhoist/packet-format.h"
 #include "mulberryhoist/request-tracker.h"
@@ -140,6 +141,8 @@
     /// is its service time.
     bool FoundFreeSlot = false;
     bool ReportedOverdue = false;
+    /// Set while the opening counts for the flow's first request.
+    bool IsFirstRequestCounted = false;
     RequestTracker Request;
     /// When the opening or the last new data of the request arrived.
     Instant LoadSince;
@@ -170,6 +173,10 @@
                  SteerActionList &Out);
   void detectSilentUpstream(Instant Now, SteerActionList &Out);
   bool mustForwardToNext(const Steer &Header, Instant Now);
+  /// Passes on, holds or refuses an opening that the cold upstream must not
+  /// get.
+  void placeBeyondColdLimit(const Steer &Header, const RoutedPacket &Packet,
+                            Instant Now, SteerActionList &Out);
   void placeWithoutFreeSlot(const Steer &Header, const RoutedPacket &Packet,
                             Instant Now, SteerActionList &Out);
   void hold(const Steer &Header, const RoutedPacket &Packet, Instant Now,
@@ -217,6 +224,7 @@
   /// Ordered by time, oldest first.
   std::deque<AwaitedRequest> Awaited;
   OpeningQueue HeldOpenings;
+  ColdLimit Cold;
   /// The bytes of held openings that the last event forwarded; the actions of
   /// that event refer to them.
   std::vector<std::vector<std::uint8_t>> ReleasedBytes;
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -25,6 +25,9 @@
   /// When the process started, and the same in Unix time.
   Instant StartedAt;
   std::chrono::milliseconds StartedAtUnix{0};
+  /// `SteeringSettings`.
+  double ColdExcess = 1;
+  double ColdSlack = 0;
 };
 
 /// The sockets of a balancer and the event loop that serves them.
@@ -53,7 +56,8 @@
   Result<void> run(const std::stop_token &Stop) {
     SteeringLogic Logic({this->Settings.Peers.Address,
                          this->Settings.Peers.Port, this->Settings.StartedAt,
-                         this->Settings.StartedAtUnix});
+                         this->Settings.StartedAtUnix,
+                         this->Settings.ColdExcess, this->Settings.ColdSlack});
     SteerActionList Out;
     Out.reserve(SteerActionReserve);
     std::shared_ptr<const Directory> Applied;
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -115,6 +115,10 @@
   /// When the process started, and the same in Unix time; 0 if unknown.
   Instant StartedAt;
   std::chrono::milliseconds StartedAtUnix{0};
+  /// A cold upstream gets at most this multiple of what it bears, and this many
+  /// requests more, in any second.
+  double ColdExcess = 1;
+  double ColdSlack = 0;
 };
 
 /// Why an agent is offered no new flows.
@@ -245,6 +249,10 @@
   using OwnerMap = std::unordered_map<FlowKey, FlowOwners>;
 
   void onOpening(const RoutedPacket &Packet, Instant Now, SteerActionList &Out);
+  /// Sets in an opening's message for how long the upstreams of its candidates
+  /// stay cold, and what they may get; nothing if that is not limited.
+  void setColdLimit(ServiceId Service, Candidate &First, Steer &Header,
+                    Instant Now) const;
   void onFlowPacket(const RoutedPacket &Packet, Instant Now,
                     SteerActionList &Out);
   void locateOwner(const RoutedPacket &Packet, Instant Now,
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -48,6 +48,10 @@
       std::chrono::milliseconds(From.value("started_at_ms", std::int64_t{0}));
   Parsed.State = From.at("ready").get<bool>() ? UpstreamState::Ready
                                               : UpstreamState::Draining;
+  if (const auto Cold = From.find("cold_left_ms"); Cold != From.end()) {
+    Parsed.ColdUntil =
+        now() + std::chrono::milliseconds(Cold->get<std::uint32_t>());
+  }
   return Parsed;
 }
 
@@ -71,19 +75,29 @@
                            {"revision", Each.Revision},
                            {"started_at_ms", Each.StartedAt.count()},
                            {"ready", Each.State == UpstreamState::Ready}});
+      if (const auto Left = coldLeft(Each, now()); Left.count() > 0) {
+        Upstreams.back()["cold_left_ms"] = Left.count();
+      }
     }
   });
   Json Services = Json::array();
   for (const ServiceId Each : From.namedServices()) {
     Services.push_back(Each.Value);
   }
-  return Json{{"version", From.version()},
-              {"source_available", Source.IsAvailable},
-              {"revision", Source.Revision},
-              {"routes", std::move(Routes)},
-              {"services", std::move(Services)},
-              {"upstreams", std::move(Upstreams)}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  Json ColdRates = Json::array();
+  for (const auto &[Service, Rate] : From.coldRates()) {
+    ColdRates.push_back({Service.Value, Rate});
+  }
+  Json Root = {{"version", From.version()},
+               {"source_available", Source.IsAvailable},
+               {"revision", Source.Revision},
+               {"routes", std::move(Routes)},
+               {"services", std::move(Services)},
+               {"upstreams", std::move(Upstreams)}};
+  if (!ColdRates.empty()) {
+    Root["cold_rates"] = std::move(ColdRates);
+  }
+  return Root.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<PeerDirectory> readDirectory(std::string_view Text) {
@@ -105,6 +119,10 @@
     for (const Json &Each : Root.value("services", Json::array())) {
       Parsed.Routes.Services.push_back({Each.get<std::uint32_t>()});
     }
+    for (const Json &Each : Root.value("cold_rates", Json::array())) {
+      Parsed.Routes.ColdRates[{Each.at(0).get<std::uint32_t>()}] =
+          Each.at(1).get<double>();
+    }
     for (const Json &Each : Root.at("upstreams")) {
       Parsed.Upstreams.push_back(readUpstream(Each));
     }
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -56,7 +56,8 @@
 Directory::Directory(RouteSet Routes, std::span<const ListedUpstream> Upstreams,
                      Completeness Listing)
     : Version(Routes.Version), Routes(std::move(Routes.Routes)),
-      Named(std::move(Routes.Services)), Listing(Listing) {
+      Named(std::move(Routes.Services)), ColdRates(std::move(Routes.ColdRates)),
+      Listing(Listing) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     this->ByAddress.insert_or_assign(this->Routes[I].Address, I);
   }
@@ -180,6 +181,9 @@
   if (this->Foreign.erase(Changed.Name) > 0) {
     this->Cached = nullptr;
   }
+  if (!this->Routes.ColdRates.contains(Changed.Service)) {
+    Changed.ColdUntil = Instant();
+  }
   Entry &Existing = this->Entries[Changed.Name];
   const bool IsNew = Existing.Listed.Name.empty();
   const bool IsSame = Existing.Listed == Changed;
--- a/src/steer-wire.cc
+++ b/src/steer-wire.cc
@@ -1,5 +1,7 @@
 #include "mulberryhoist/steer-wire.h"
 
+#include <algorithm>
+
 #include "envelope-codec.h"
 #include "flow-codec.h"
 
@@ -9,6 +11,8 @@
 /// Maximum number of slots of one upstream; a message with more is malformed.
 constexpr std::uint32_t MaxSlots = 65'535;
 
+bool isCold(const Candidate &Each) { return Each.ColdLeft.count() != 0; }
+
 void write(const Steer &From, proto::SteerEnvelope &Envelope) {
   proto::Steer &To = *Envelope.mutable_steer();
   for (const ServiceId Each : From.Services.view()) {
@@ -30,6 +34,13 @@
   To.set_least_load(From.LeastLoad);
   To.set_hops(From.Hops);
   To.set_search(From.Search);
+  To.set_cold_limit(From.ColdLimit);
+  To.set_own_cold_ms(static_cast<std::uint32_t>(From.ColdLeft.count()));
+  if (std::ranges::any_of(From.Next.view(), isCold)) {
+    for (const Candidate &Each : From.Next.view()) {
+      To.add_cold_ms(static_cast<std::uint32_t>(Each.ColdLeft.count()));
+    }
+  }
 }
 
 void write(const Taken &From, proto::SteerEnvelope &Envelope) {
@@ -69,14 +80,18 @@
       return std::nullopt;
     }
   }
-  if (From.candidates_size() != From.slots_size() || To.Services.empty() ||
-      !isValidSlotCount(From.own_slots()) ||
+  const bool HasCold = From.cold_ms_size() != 0;
+  if (From.candidates_size() != From.slots_size() ||
+      (HasCold && From.cold_ms_size() != From.candidates_size()) ||
+      To.Services.empty() || !isValidSlotCount(From.own_slots()) ||
       (From.least_loaded() != 0 && !isValidSlotCount(From.least_slots()))) {
     return std::nullopt;
   }
   for (int I = 0; I < From.candidates_size(); ++I) {
     if (!isValidSlotCount(From.slots(I)) ||
-        !To.Next.add({From.candidates(I), From.slots(I)})) {
+        !To.Next.add(
+            {From.candidates(I), From.slots(I),
+             std::chrono::milliseconds(HasCold ? From.cold_ms(I) : 0)})) {
       return std::nullopt;
     }
   }
@@ -91,6 +106,8 @@
   To.LeastLoad = From.least_load();
   To.Hops = From.hops();
   To.Search = From.search();
+  To.ColdLimit = From.cold_limit();
+  To.ColdLeft = std::chrono::milliseconds(From.own_cold_ms());
   return To;
 }
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -1,6 +1,7 @@
 #include "mulberryhoist/steering-agent.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryhoist {
 namespace {
@@ -12,7 +13,8 @@
 
 SteeringAgentLogic::SteeringAgentLogic(SteeringAgentSettings Settings,
                                        Instant Now)
-    : Settings(Settings), ForwardedPackets(ForwardedCapacity), NextSweep(Now) {}
+    : Settings(Settings), Cold(Now), ForwardedPackets(ForwardedCapacity),
+      NextSweep(Now) {}
 
 RecordDecision SteeringAgentLogic::record(Decision Kind, const FlowKey &Flow,
                                           const Steer &Header) const {
@@ -43,6 +45,7 @@
                                  SteerActionList &Out) {
   this->ReleasedBytes.clear();
   this->expireOpenings(Now);
+  this->Cold.onMessage(Header.ColdLimit, Header.ColdLeft, Now);
   this->serveHeldOpenings(Now, Out);
   this->addBalancer(Header.Balancer);
   this->Slots = Header.Slots;
@@ -96,6 +99,10 @@
     this->forwardToNext(Header, Packet, Out);
     return;
   }
+  if (!this->Cold.admits(Now)) {
+    this->placeBeyondColdLimit(Header, Packet, Now, Out);
+    return;
+  }
   if (this->Load < Header.Slots) {
     this->take(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
                Packet.Bytes, Now, Out);
@@ -138,6 +145,34 @@
   return true;
 }
 
+void SteeringAgentLogic::placeBeyondColdLimit(const Steer &Header,
+                                              const RoutedPacket &Packet,
+                                              Instant Now,
+                                              SteerActionList &Out) {
+  if (!Header.Next.empty()) {
+    this->forwardToNext(Header, Packet, Out);
+    return;
+  }
+  if (!Header.Final && Header.LeastLoaded.Agent != 0 &&
+      Header.LeastLoaded.Agent != this->Settings.Address) {
+    // Another candidate had no free slot, but may take the opening.
+    Steer NextHeader = Header;
+    (void)NextHeader.Next.add(Header.LeastLoaded);
+    NextHeader.Final = true;
+    this->forwardToNext(NextHeader, Packet, Out);
+    return;
+  }
+  const Duration Wait = this->Cold.delay(this->HeldOpenings.size(), Now);
+  if (this->HeldOpenings.size() < MaxHeldOpenings &&
+      Packet.Waited + Wait <
+          holdLimit(Header, this->upstreamLoad(Header.Slots))) {
+    this->hold(Header, Packet, Now, Out);
+    return;
+  }
+  this->refuse(Header, {Packet.View.callerFlow(), Packet.View.Sequence},
+               Duration::zero(), Out);
+}
+
 void SteeringAgentLogic::placeWithoutFreeSlot(const Steer &Header,
                                               const RoutedPacket &Packet,
                                               Instant Now,
@@ -216,8 +251,12 @@
   while (const auto Expired = this->HeldOpenings.takeExpired(ExpiredAt)) {
     this->refuse(Expired->Header, Expired->Flow, Now - Expired->HeldSince, Out);
   }
-  while (auto Next = this->HeldOpenings.takeNext(
-             this->upstreamLoad(this->Slots), Now)) {
+  while (this->Cold.admits(Now)) {
+    auto Next =
+        this->HeldOpenings.takeNext(this->upstreamLoad(this->Slots), Now);
+    if (!Next) {
+      break;
+    }
     this->ReleasedBytes.push_back(std::move(Next->Bytes));
     this->take(Next->Header, Next->Flow, this->ReleasedBytes.back(), Now, Out);
   }
@@ -228,6 +267,7 @@
                               SteerActionList &Out) {
   const FlowKey &Key = Flow.Key;
   const std::uint32_t Tag = this->recordForwarded(Header);
+  this->Cold.count(Now);
   if (this->Flows.size() < this->Settings.MaxFlows) {
     SteeringAgentFlow &Entry = this->Flows[Key];
     this->removeFromLoad(Entry);
@@ -240,6 +280,7 @@
     }
     Entry.Balancer = Header.Balancer;
     Entry.Notify = true;
+    Entry.IsFirstRequestCounted = true;
     Entry.LastSeen = Now;
     this->addToLoad(Entry, Header.Slots, Now);
     this->Awaited.push_back({Key, Now});
@@ -270,6 +311,7 @@
   Steer NextHeader = Header;
   const Candidate Next = NextHeader.Next.takeFirst();
   NextHeader.Slots = Next.Slots;
+  NextHeader.ColdLeft = Next.ColdLeft;
   ++NextHeader.Hops;
   RecordDecision Record = this->record(IsOpening ? Decision::OpeningPassedOn
                                                  : Decision::PacketReturned,
@@ -307,6 +349,10 @@
     this->removeFromLoad(Flow);
     return;
   case RequestTracker::CallerEvent::Begins:
+    if (!std::exchange(Flow.IsFirstRequestCounted, false)) {
+      this->Cold.count(Now);
+    }
+    [[fallthrough]];
   case RequestTracker::CallerEvent::Continues:
     // The request occupies a slot from its last data on, so that the estimate
     // of the service time does not depend on the caller's link.
@@ -508,6 +554,7 @@
   this->Flows.clear();
   this->Awaited.clear();
   this->HeldOpenings.clear();
+  this->Cold.reset();
   this->Load = 0;
   this->Overdue = 0;
   this->ServiceTime = {};
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "mulberryhoist/cold-limit.h"
 #include "mulberryhoist/routing.h"
 
 namespace mulberryhoist {
@@ -180,7 +181,8 @@
     Order.erase(Avoided, Order.end());
   }
   setAlternatives(Order, MaxOpeningCandidates, Header);
-  const Candidate First = Order.front().Target;
+  Candidate First = Order.front().Target;
+  this->setColdLimit(Service, First, Header, Now);
   Out.emplace_back(record(Decision::OpeningSent, Key, First.Agent));
   this->sendTo(First.Agent, Header, Packet.Bytes, Out);
   if (this->UnansweredOpenings.size() >= MaxUnansweredOpenings) {
@@ -201,6 +203,37 @@
   }
 }
 
+void SteeringLogic::setColdLimit(ServiceId Service, Candidate &First,
+                                 Steer &Header, Instant Now) const {
+  const auto &Rates = this->InForce->coldRates();
+  const auto Rate = Rates.find(Service);
+  if (Rate == Rates.end()) {
+    return;
+  }
+  bool HasCold = false;
+  const auto Mark = [&](Candidate Each) {
+    for (const ListedUpstream &Listed : this->InForce->upstreams(Service)) {
+      if (Listed.Address == Each.Agent && Listed.State != UpstreamState::Gone) {
+        Each.ColdLeft = std::max(Each.ColdLeft, coldLeft(Listed, Now));
+      }
+    }
+    HasCold = HasCold || Each.ColdLeft.count() > 0;
+    return Each;
+  };
+  First = Mark(First);
+  CandidateList Next;
+  for (const Candidate &Each : Header.Next.view()) {
+    (void)Next.add(Mark(Each));
+  }
+  if (HasCold) {
+    Header.Next = Next;
+    Header.ColdLeft = First.ColdLeft;
+    Header.ColdLimit = static_cast<std::uint32_t>(std::clamp(
+        Rate->second * this->Settings.ColdExcess + this->Settings.ColdSlack,
+        1.0, static_cast<double>(MaxColdLimit)));
+  }
+}
+
 void SteeringLogic::onFlowPacket(const RoutedPacket &Packet, Instant Now,
                                  SteerActionList &Out) {
   const FlowKey Key = Packet.View.callerFlow();
@@ -678,6 +711,7 @@
     (void)Header.Next.add(Each.First);
   }
   Header.Slots = First.Slots;
+  Header.ColdLeft = First.ColdLeft;
   RecordDecision Record = record(Decision::OpeningResent, Key, First.Agent);
   Record.Age = Now - Each.SentAt;
   Out.emplace_back(Record);
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "mulberryhoist/directory-exchange.h"
+#include "mulberryhoist/process.h"
 #include "steer-samples.h"
 
 namespace mulberryhoist {
@@ -566,10 +567,49 @@
   EXPECT_EQ(Parsed->Source.Revision, 17U);
   EXPECT_EQ(Parsed->Routes.Version, 9U);
   EXPECT_EQ(Parsed->Routes.Routes, routes(9).Routes);
+  EXPECT_TRUE(Parsed->Routes.ColdRates.empty());
   // Upstreams that are gone are not serialized.
   EXPECT_EQ(Parsed->Upstreams, (std::vector<ListedUpstream>{All[0], All[1]}));
 }
 
+// Guards against a balancer that learns of a cold upstream from another one,
+// and takes it for a warm one.
+TEST(DirectoryExchangeTest, KeepsWhatIsLeftOfTheColdTime) {
+  RouteSet Configuration = routes(9);
+  Configuration.ColdRates[OrderService] = 20.5;
+  ListedUpstream Cold = upstream(1);
+  Cold.ColdUntil = now() + std::chrono::hours(1);
+  const auto Parsed = readDirectory(writeDirectory(
+      Directory(Configuration, std::vector{Cold, upstream(2)}), {true, 17}));
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed->Routes.ColdRates, Configuration.ColdRates);
+  const Instant Read = Parsed->Upstreams[0].ColdUntil;
+  EXPECT_LT(Read - Cold.ColdUntil, std::chrono::minutes(1));
+  EXPECT_LT(Cold.ColdUntil - Read, std::chrono::minutes(1));
+  EXPECT_EQ(Parsed->Upstreams[1].ColdUntil, Instant());
+}
+
+// Guards against a directory that changes with each heartbeat of an upstream
+// whose coldness limits nothing.
+TEST_F(DirectoryBuilderTest, ColdTimeMattersOnlyWithARate) {
+  ListedUpstream Cold = upstream(1);
+  Cold.ColdUntil = this->Now;
+  RouteSet Configuration = routes(1);
+  ASSERT_TRUE(
+      this->Builder.onRoutes(Configuration, false, this->Now).has_value());
+  this->Builder.onUpstream(Cold);
+  const auto UntilOf = [this] {
+    return this->Builder.current()->upstreams(OrderService)[0].ColdUntil;
+  };
+  EXPECT_EQ(UntilOf(), Instant());
+  Configuration.Version = 2;
+  Configuration.ColdRates[OrderService] = 20;
+  ASSERT_TRUE(
+      this->Builder.onRoutes(Configuration, false, this->Now).has_value());
+  this->Builder.onUpstream(Cold);
+  EXPECT_EQ(UntilOf(), this->Now);
+}
+
 // Guards against a balancer that rejects the directory of an older version.
 TEST(DirectoryExchangeTest, ListOfServicesIsOptional) {
   const auto Parsed =
--- a/test/malformed-input-test.cc
+++ b/test/malformed-input-test.cc
@@ -185,7 +185,7 @@
 
 void readEntry(const std::string &Input) {
   // The name comes from the key, which other writers choose.
-  if (auto Parsed = parseUpstream(Input.substr(0, 9), Input)) {
+  if (auto Parsed = parseUpstream(Input.substr(0, 9), Input, Instant())) {
     DirectoryBuilder Builder;
     Builder.onUpstream(std::move(*Parsed));
     (void)writeDirectory(*Builder.current(), {});
--- a/test/platform-adapter-test.cc
+++ b/test/platform-adapter-test.cc
@@ -99,24 +99,36 @@
   EXPECT_FALSE(PlatformFormat::parse(Bytes).has_value());
 }
 
+constexpr Instant Now = Instant(std::chrono::hours(1));
+
 constexpr std::string_view GoodEntry =
     R"({"backend":"orders","addr":"10.128.0.9:8080","zone":"z","version":"v1",
         "slots":4,"state":"ready","cold_left_ms":0,"seq":4,"born":1})";
 
 TEST(StoreModelTest, ReadsAnUpstream) {
-  const auto Listed = parseUpstream("i-1", GoodEntry);
+  const auto Listed = parseUpstream("i-1", GoodEntry, Now);
   ASSERT_TRUE(Listed.has_value());
   EXPECT_EQ(Listed->Service, serviceId("orders"));
   EXPECT_EQ(Listed->Address, 0x0A800009U);
   EXPECT_EQ(Listed->Slots, 4U);
   EXPECT_EQ(Listed->State, UpstreamState::Ready);
+  EXPECT_EQ(Listed->ColdUntil, Instant());
+}
+
+// Guards against a cold upstream that gets the openings of a warm one.
+TEST(StoreModelTest, ReadsForHowLongAnUpstreamStaysCold) {
+  std::string Entry(GoodEntry);
+  Entry.replace(Entry.find(R"("cold_left_ms":0)"),
+                std::size(R"("cold_left_ms":0)") - 1, R"("cold_left_ms":1800)");
+  EXPECT_EQ(parseUpstream("i-1", Entry, Now)->ColdUntil,
+            Now + milliseconds(1800));
 }
 
 // Entries of older versions of the platform have no start time.
 TEST(StoreModelTest, ReadsAnUpstreamWithoutStartTime) {
   std::string Entry(GoodEntry);
   Entry.replace(Entry.find(R"(,"born":1)"), std::size(R"(,"born":1)") - 1, "");
-  const auto Listed = parseUpstream("i-1", Entry);
+  const auto Listed = parseUpstream("i-1", Entry, Now);
   ASSERT_TRUE(Listed.has_value());
   EXPECT_EQ(Listed->StartedAt, milliseconds(0));
 }
@@ -125,7 +137,7 @@
 
 // Guards against entries of other writers that are accepted as upstreams.
 TEST_P(BadEntryTest, IsRejected) {
-  const auto Listed = parseUpstream("i-1", GetParam());
+  const auto Listed = parseUpstream("i-1", GetParam(), Now);
   ASSERT_FALSE(Listed.has_value());
   EXPECT_EQ(Listed.error().Kind, ErrorKind::InvalidTable);
 }
@@ -155,7 +167,7 @@
   } else {
     Entry.replace(At, After - At, Replacement);
   }
-  const auto Listed = parseUpstream("i-1", Entry);
+  const auto Listed = parseUpstream("i-1", Entry, Now);
   ASSERT_FALSE(Listed.has_value()) << Entry;
   const std::string Name(Field.substr(1, Field.find('"', 1) - 1));
   EXPECT_TRUE(Listed.error().Detail.ends_with(Name)) << Listed.error().Detail;
@@ -191,7 +203,8 @@
         {"name":"d","host":"198.18.0.1","prefix":"/8443/"},
         {"name":"e","host":"198.18.0.1","prefix":"/443/","split":[
           {"backend":"x","weight":90},{"backend":"y","weight":0}]},
-        17],"backends":[{"name":"orders"},{"name":"y"},{"name":7},8]})");
+        17],"backends":[{"name":"orders","cold_per_s":20.5},
+          {"name":"y","cold_per_s":0.0},{"name":7,"cold_per_s":1},8]})");
   ASSERT_TRUE(Read.has_value());
   EXPECT_EQ(Read->Version, 7U);
   ASSERT_EQ(Read->Routes.size(), 2U);
@@ -200,6 +213,9 @@
   EXPECT_EQ(Read->Routes[0].Timeout, milliseconds(1200));
   EXPECT_EQ(Read->Routes[1].Targets.size(), 1U);
   EXPECT_EQ(Read->Services, (std::vector{serviceId("orders"), serviceId("y")}));
+  // A rate of 0 is none.
+  ASSERT_EQ(Read->ColdRates.size(), 1U);
+  EXPECT_EQ(Read->ColdRates.at(serviceId("orders")), 20.5);
 }
 
 class BadConfigurationTest : public testing::TestWithParam<std::string_view> {};
@@ -230,6 +246,8 @@
 ready = "10.1.0.12:8167"
 [bounds]
 stable_ms = 5000
+cold_excess = 1.5
+cold_slack = 5
 [platform]
 addr = "10.200.1.7:8169"
 )";
@@ -244,6 +262,8 @@
   EXPECT_EQ(formatEndpoint(*Read->FromUpstream), "10.1.0.12:8162");
   EXPECT_FALSE(Read->Control.has_value());
   EXPECT_EQ(Read->StableTime, milliseconds(5000));
+  EXPECT_EQ(Read->ColdExcess, 1.5);
+  EXPECT_EQ(Read->ColdSlack, 5);
 }
 
 struct BadSettingsRow {
--- a/test/steer-wire-test.cc
+++ b/test/steer-wire-test.cc
@@ -27,6 +27,8 @@
   Header.LeastLoad = 9;
   Header.Hops = 5;
   Header.Search = 0xFFFFFFFFU;
+  Header.ColdLimit = 35;
+  Header.ColdLeft = milliseconds(1900);
   return Header;
 }
 
@@ -53,9 +55,32 @@
   EXPECT_EQ(To.LeastLoad, From.LeastLoad);
   EXPECT_EQ(To.Hops, From.Hops);
   EXPECT_EQ(To.Search, From.Search);
+  EXPECT_EQ(To.ColdLimit, From.ColdLimit);
+  EXPECT_EQ(To.ColdLeft, From.ColdLeft);
   EXPECT_EQ(Decoded->Packet.size(), anyBytes().size());
 }
 
+// Guards against a candidate that gets the cold time of another one, and
+// against bytes for candidates that are warm.
+TEST(SteerWireTest, CandidatesKeepTheirColdTimes) {
+  SteerCodec Codec;
+  Steer From;
+  (void)From.Services.add(OrderService);
+  (void)From.Next.add({agentAddress(2), 4});
+  (void)From.Next.add({agentAddress(3), 4});
+  const std::size_t WarmSize = Codec.encode(From, anyBytes())->size();
+  From.Next = {};
+  (void)From.Next.add({agentAddress(2), 4});
+  (void)From.Next.add({agentAddress(3), 4, milliseconds(700)});
+  const auto Encoded = Codec.encode(From, anyBytes());
+  const std::vector<std::uint8_t> Bytes(Encoded->begin(), Encoded->end());
+  EXPECT_GT(Bytes.size(), WarmSize);
+  const auto Decoded = Codec.decode(Bytes);
+  ASSERT_TRUE(Decoded.has_value());
+  EXPECT_TRUE(std::ranges::equal(std::get<Steer>(Decoded->Body).Next.view(),
+                                 From.Next.view()));
+}
+
 TEST(SteerWireTest, NoticesKeepTheirFields) {
   SteerCodec Codec;
   const Taken Notice = {{flowOf(9), 77}, 5, 3, true};
--- a/test/steering-agent-test.cc
+++ b/test/steering-agent-test.cc
@@ -483,5 +483,105 @@
       1U);
 }
 
+class ColdUpstreamTest : public SteeringAgentTest {
+protected:
+  /// Returns a header for a cold upstream that may get two openings a second.
+  static Steer coldHeader(std::initializer_list<std::uint32_t> Next = {}) {
+    Steer Header = header(Next);
+    Header.ColdLimit = 2;
+    Header.ColdLeft = std::chrono::seconds(10);
+    return Header;
+  }
+
+  void SetUp() override {
+    // The agent knows what the upstream got in the last second.
+    this->Now += ColdWindow + milliseconds(1);
+  }
+
+  /// Opens flows until the limit is reached.
+  void reachLimit() {
+    for (std::uint16_t Port = 1; Port <= 2; ++Port) {
+      ASSERT_TRUE(decided(this->steer(coldHeader(), opening(Port)),
+                          Decision::OpeningTaken));
+      (void)this->fromUpstream(answer(Port, true));
+    }
+  }
+};
+
+// Guards against a cold upstream that gets more openings than it may, from any
+// number of balancers, and against one that is held back while it is warm.
+TEST_F(ColdUpstreamTest, OpeningsBeyondTheLimitArePassedOn) {
+  this->reachLimit();
+  const auto Out = this->steer(coldHeader({2}), opening(3));
+  EXPECT_TRUE(decided(Out, Decision::OpeningPassedOn));
+  ASSERT_EQ(sent<Steer>(Out).size(), 1U);
+  EXPECT_EQ(sent<Steer>(Out)[0].first, agentAddress(2));
+  // The next candidate is warm.
+  EXPECT_EQ(sent<Steer>(Out)[0].second.ColdLeft, milliseconds(0));
+  // A message that does not say it changes nothing.
+  EXPECT_FALSE(
+      decided(this->steer(header({2}), opening(4)), Decision::OpeningTaken));
+  this->Now += std::chrono::seconds(10);
+  EXPECT_TRUE(
+      decided(this->steer(header({2}), opening(5)), Decision::OpeningTaken));
+}
+
+// Guards against an upstream that gets a second's openings again because its
+// agent has restarted.
+TEST_F(ColdUpstreamTest, RestartedAgentWaitsForASecond) {
+  this->Agent =
+      SteeringAgentLogic({OrderService, agentAddress(1), PeerPort}, this->Now);
+  EXPECT_TRUE(decided(this->steer(coldHeader({2}), opening(1)),
+                      Decision::OpeningPassedOn));
+}
+
+// Guards against openings that the last candidate drops, or lets through, and
+// against an upstream that gets none after it.
+TEST_F(ColdUpstreamTest, LastCandidateHoldsOpeningsUntilTheWindowIsOpen) {
+  this->reachLimit();
+  Steer Header = coldHeader();
+  Header.Timeout = std::chrono::seconds(4);
+  EXPECT_TRUE(decided(this->steer(Header, opening(3)), Decision::OpeningHeld));
+  SteerActionList Out;
+  this->Now += std::chrono::seconds(1);
+  this->Agent.onTick(this->Now, Out);
+  EXPECT_FALSE(decided(Out, Decision::OpeningTaken));
+  this->Now += milliseconds(100);
+  this->Agent.onTick(this->Now, Out);
+  EXPECT_TRUE(decided(Out, Decision::OpeningTaken));
+}
+
+// Guards against callers that wait for a refusal that is certain: their time is
+// over before the window opens.
+TEST_F(ColdUpstreamTest, LastCandidateRefusesWhoCannotWait) {
+  this->reachLimit();
+  Steer Header = coldHeader();
+  Header.Timeout = milliseconds(500);
+  const auto Out = this->steer(Header, opening(3));
+  EXPECT_TRUE(decided(Out, Decision::OpeningRefused));
+  EXPECT_EQ(sent<Refused>(Out).size(), 1U);
+}
+
+// Guards against a cold upstream whose open flows and new ones together get
+// more than it bears, and against a first request that counts twice.
+TEST_F(ColdUpstreamTest, FurtherRequestsOfOpenFlowsCount) {
+  const auto Begin = [this](std::uint32_t Sequence) {
+    RoutedPacket Request = callerPacket(1, 5002, true);
+    Request.View.Sequence = Sequence;
+    (void)this->steer(coldHeader(), Request);
+    (void)this->fromUpstream(answer(1, false));
+  };
+  (void)this->steer(coldHeader(), opening(1));
+  (void)this->fromUpstream(answer(1, true));
+  Begin(1);
+  EXPECT_TRUE(decided(this->steer(coldHeader({2}), opening(2)),
+                      Decision::OpeningTaken));
+  this->Now += ColdWindow + milliseconds(1);
+  Begin(1 + static_cast<std::uint32_t>(anyBytes().size()));
+  (void)this->steer(coldHeader({2}), opening(3));
+  EXPECT_TRUE(decided(this->steer(coldHeader({2}), opening(4)),
+                      Decision::OpeningPassedOn));
+}
+
 } // namespace
 } // namespace mulberryhoist
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -707,5 +707,58 @@
                          .IsSearched = true}),
     [](const auto &Info) { return Info.param.Name; });
 
+class ColdSteeringTest : public SteeringTest {
+protected:
+  /// Returns the message of an opening while upstream 2 is cold for 700 ms.
+  Steer openingWith(double Rate) {
+    this->Logic = SteeringLogic(
+        {BalancerAddress, PeerPort, this->Now, UnixStart, 1.5, 5});
+    RouteSet Configuration = routes();
+    if (Rate > 0) {
+      Configuration.ColdRates[OrderService] = Rate;
+    }
+    ListedUpstream Cold = upstream(2);
+    Cold.ColdUntil = this->Now + milliseconds(700);
+    this->use({upstream(1), Cold, upstream(3)}, Configuration);
+    const auto Sent = sent<Steer>(this->packet(opening(1)));
+    EXPECT_EQ(Sent.size(), 1U);
+    this->First = Sent.at(0).first;
+    return Sent.at(0).second;
+  }
+
+  std::uint32_t First = 0;
+};
+
+// Guards against an agent that takes a cold upstream for a warm one, or the
+// other way round.
+TEST_F(ColdSteeringTest, MessageNamesTheLimitAndTheColdCandidate) {
+  const Steer Header = this->openingWith(20);
+  EXPECT_EQ(Header.ColdLimit, 35U);
+  const auto Expected = [](std::uint32_t Agent) {
+    return milliseconds(Agent == agentAddress(2) ? 700 : 0);
+  };
+  EXPECT_EQ(Header.ColdLeft, Expected(this->First));
+  ASSERT_EQ(Header.Next.size(), 2U);
+  for (const Candidate &Each : Header.Next.view()) {
+    EXPECT_EQ(Each.ColdLeft, Expected(Each.Agent));
+  }
+  // The same holds when the opening is sent again, the other way round.
+  const auto Again = sent<Steer>(this->tick(ResendDelay));
+  ASSERT_EQ(Again.size(), 1U);
+  EXPECT_EQ(Again[0].second.ColdLeft, Expected(Again[0].first));
+  EXPECT_EQ(Again[0].second.ColdLimit, 35U);
+}
+
+// Guards against messages that grow, and openings that are held back, where no
+// limit is given.
+TEST_F(ColdSteeringTest, MessageSaysNothingWithoutARate) {
+  const Steer Header = this->openingWith(0);
+  EXPECT_EQ(Header.ColdLimit, 0U);
+  EXPECT_EQ(Header.ColdLeft, milliseconds(0));
+  for (const Candidate &Each : Header.Next.view()) {
+    EXPECT_EQ(Each.ColdLeft, milliseconds(0));
+  }
+}
+
 } // namespace
 } // namespace mulberryhoist
