Decode random bytes in each case of the wire property again

Cause: the property decoded random bytes in a quarter of its cases only, since the others became changed messages; it was to lose no case.

Change: each case decodes both.

--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -163,11 +163,8 @@
 INSTANTIATE_TEST_SUITE_P(Messages, RoundTripTest,
                          testing::ValuesIn(allMessages()));
 
-/// Returns any bytes, or a message with up to two bytes replaced.
+/// Returns a message with up to two bytes replaced.
 std::vector<std::uint8_t> anyMessage() {
-  if (anyBelow(4) == 0) {
-    return *rc::gen::arbitrary<std::vector<std::uint8_t>>();
-  }
   const Message Body = *rc::gen::elementOf(allMessages());
   Codec TestCodec;
   auto Bytes = toVector(*TestCodec.encode(Body, packetFor(Body)));
@@ -181,13 +178,16 @@
 TEST(WireProperty, SurvivesRandomBytes) {
   checkWithAcceptedInputs([] {
     Codec TestCodec;
-    const auto Bytes = anyMessage();
-    const auto Decoded = TestCodec.decode(Bytes);
-    const bool Typed = Decoded ||
-                       Decoded.error().Kind == ErrorKind::MalformedMessage ||
-                       Decoded.error().Kind == ErrorKind::OversizedMessage;
-    RC_ASSERT(Typed);
-    return Decoded.has_value();
+    const auto IsDecoded = [&TestCodec](const auto &Bytes) {
+      const auto Decoded = TestCodec.decode(Bytes);
+      const bool Typed = Decoded ||
+                         Decoded.error().Kind == ErrorKind::MalformedMessage ||
+                         Decoded.error().Kind == ErrorKind::OversizedMessage;
+      RC_ASSERT(Typed);
+      return Decoded.has_value();
+    };
+    (void)IsDecoded(*rc::gen::arbitrary<std::vector<std::uint8_t>>());
+    return IsDecoded(anyMessage());
   });
 }
 
