--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "mulberryhoist/admission/route-work.h"
+#include "mulberryhoist/cold-limit.h"
 #include "mulberryhoist/intake.h"
 #include "mulberryhoist/opening-queue.h"
 #include "mulberryhoist/packet-format.h"
@@ -169,6 +170,8 @@
     /// is its service time.
     bool FoundFreeSlot = false;
     bool ReportedOverdue = false;
+    /// Set while the opening counts for the flow's first request.
+    bool IsFirstRequestCounted = false;
     RequestTracker Request;
     /// When the opening or the last new data of the request arrived.
     Instant LoadSince;
@@ -214,6 +217,10 @@
                  SteerActionList &Out);
   void detectSilentUpstream(Instant Now, SteerActionList &Out);
   bool mustForwardToNext(const Steer &Header, Instant Now);
+  /// Passes on, holds or refuses an opening that the cold upstream must not
+  /// get.
+  void placeBeyondColdLimit(const Steer &Header, const RoutedPacket &Packet,
+                            Instant Now, SteerActionList &Out);
   void placeWithoutFreeSlot(const Steer &Header, const RoutedPacket &Packet,
                             Instant Now, SteerActionList &Out);
   void hold(const Steer &Header, const RoutedPacket &Packet, Instant Now,
@@ -284,6 +291,7 @@
   std::deque<AwaitedRequest> Awaited;
   OpeningQueue HeldOpenings;
   IntakeState Intake;
+  ColdLimit Cold;
   /// The bytes of held openings that the last event forwarded; the actions of
   /// that event refer to them.
   std::vector<std::vector<std::uint8_t>> ReleasedBytes;
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -28,6 +28,9 @@
   std::chrono::milliseconds StartedAtUnix{0};
   /// The rate of the VM's link in bytes per second, each way; 0 if unknown.
   std::uint64_t LinkRate = 0;
+  /// `SteeringSettings`.
+  double ColdExcess = 1;
+  double ColdSlack = 0;
 };
 
 /// How often the gauges of the link are written.
@@ -90,8 +93,8 @@
   Result<void> run(const std::stop_token &Stop) {
     SteeringLogic Logic({this->Settings.Peers.Address,
                          this->Settings.Peers.Port, this->Settings.StartedAt,
-                         this->Settings.StartedAtUnix,
-                         this->Settings.LinkRate});
+                         this->Settings.StartedAtUnix, this->Settings.LinkRate,
+                         this->Settings.ColdExcess, this->Settings.ColdSlack});
     SteerActionList Out;
     Out.reserve(SteerActionReserve);
     std::shared_ptr<const Directory> Applied;
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -135,6 +135,10 @@
   std::chrono::milliseconds StartedAtUnix{0};
   /// The rate of the VM's link in bytes per second, each way; 0 if unknown.
   std::uint64_t LinkRate = 0;
+  /// A cold upstream gets at most this multiple of what it bears, and this many
+  /// requests more, in any second.
+  double ColdExcess = 1;
+  double ColdSlack = 0;
 };
 
 /// Why an agent is offered no new flows.
@@ -291,6 +295,10 @@
   /// Returns whether the upstream of the flow's owner has not answered yet and
   /// takes no new flows.
   bool isUnansweredAtClosed(const FlowOwners &Owners) const;
+  /// Sets in an opening's message for how long the upstreams of its candidates
+  /// stay cold, and what they may get; nothing if that is not limited.
+  void setColdLimit(ServiceId Service, Candidate &First, Steer &Header,
+                    Instant Now) const;
   void onFlowPacket(const RoutedPacket &Packet, Instant Now,
                     SteerActionList &Out);
   void locateOwner(const RoutedPacket &Packet, Instant Now,
--- a/src/opening-queue.cc
+++ b/src/opening-queue.cc
@@ -79,8 +79,7 @@
     while (!Result.Prompt.empty() &&
            Begin + Planned - Result.Prompt.back().SlotTime / Load.Slots >
                LatestStart(Result.Prompt.back())) {
-      // Among equals the newest is left out: it has the most time for another
-      // try.
+      // Among equals the oldest is left out, whose objective is most at risk.
       const auto Least = std::ranges::min_element(
           Result.Prompt, {}, [](const Candidate &Planned) {
             return std::tuple(Planned.Density,
