Search zone by zone, and in one pass after a loss of power

Cause: searches visit the agents before the upstreams now, one hop after the other and without regard to zones. Bytes between zones rose.

Change: beyond the first part, which holds the agents to which the opening went most likely, a search goes from zone to zone and crosses between them a few times only. For 5 s after all VMs have restarted together, when most flows that are searched for are gone, upstreams are asked at once.

SearchVisitsOneZoneAfterTheOther and JointRestartTest fail without it.

--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -95,6 +95,10 @@
 /// reach others than its own (2 s), with allowance for queues in the network.
 inline constexpr Duration AskWindow = std::chrono::seconds(1);
 
+/// How long after a loss of power of all VMs searches ask upstreams at once:
+/// callers of flows that are gone come within some seconds.
+inline constexpr Duration JointRestartSearchSpan = std::chrono::seconds(5);
+
 /// The most flows for which upstreams have been asked; no others are asked for.
 inline constexpr std::size_t MaxAskedFlows = 65'536;
 
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -21,6 +21,8 @@
   double Score = 0;
   Candidate Target;
   VisitOrder Order = VisitOrder::Preferred;
+  /// Valid while the directory is.
+  std::string_view AvailabilityZone;
 };
 
 /// A list of candidates, best first.
@@ -73,11 +75,25 @@
     if (Accepts(Each)) {
       Out.push_back({rendezvousScore(FlowHash, Each.Id, Each.Slots),
                      {Each.Address, Each.Slots},
-                     Place(Each)});
+                     Place(Each),
+                     Each.AvailabilityZone});
     }
   }
 }
 
+/// Sorts all candidates after the first `Count` by their availability zones, so
+/// that a packet that visits them crosses between zones a few times only.
+void groupByZone(RankedCandidates &List, std::size_t Count) {
+  if (List.size() <= Count) {
+    return;
+  }
+  std::ranges::stable_sort(List.begin() + static_cast<std::ptrdiff_t>(Count),
+                           List.end(), {}, [](const RankedCandidate &Each) {
+                             return std::pair(Each.Order,
+                                              Each.AvailabilityZone);
+                           });
+}
+
 /// Fills the header's list of further candidates and the slots of the first.
 void setAlternatives(const RankedCandidates &Order, std::size_t Limit,
                      Steer &Header) {
@@ -385,6 +401,8 @@
     return;
   }
   sortAndDeduplicate(Order);
+  // The first part holds the agents to which the opening went most likely.
+  groupByZone(Order, MaxSearchPart);
   Out.emplace_back(
       record(Decision::OwnerSought, Key, Order.front().Target.Agent));
   if (this->Searches.size() >= MaxSearches) {
@@ -402,11 +420,18 @@
   // flow: an agent has restarted, or the flow is gone. Otherwise a flow whose
   // packets are lost on the way to its upstream would reach others meanwhile.
   const bool MayAsk = this->mayAsk(Key, Now);
+  // After a loss of power of all VMs, most flows that are searched for are
+  // gone.
+  const bool AsksAtOnce =
+      MayAsk && IsJointRestart &&
+      Now - this->Settings.StartedAt < JointRestartSearchSpan;
   for (const RankedCandidate &Each : Order) {
     if (MayAsk) {
       Begun.ToAsk.push_back(Each.Target);
     }
-    if (!MayAsk || this->avoidance(Each.Target.Agent) != Avoidance::Suspected) {
+    const bool IsSuspected =
+        this->avoidance(Each.Target.Agent) == Avoidance::Suspected;
+    if (!AsksAtOnce && (!MayAsk || !IsSuspected)) {
       Begun.Remaining.push_back(Each.Target);
     }
   }
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -819,6 +819,73 @@
   EXPECT_EQ(visited(Located[0]).size(), 2U);
 }
 
+// Guards against searches that cross between availability zones at each of many
+// hops, which costs their callers time and the operators bytes.
+TEST_F(SteeringTest, SearchVisitsOneZoneAfterTheOther) {
+  std::vector<ListedUpstream> All;
+  for (std::uint32_t I = 1; I <= 48; ++I) {
+    All.push_back(upstream(I));
+    All.back().AvailabilityZone = "z-" + std::to_string(I % 4);
+  }
+  this->use(All);
+  std::vector<std::uint32_t> Zones;
+  SteerActionList Out = this->packet(callerPacket(9, 501, true));
+  for (auto Sent = sent<Steer>(Out); Sent[0].second.KnownOnly;
+       Sent = sent<Steer>(Out)) {
+    Zones.push_back(Sent[0].first % 4);
+    for (const Candidate &Each : Sent[0].second.Next.view()) {
+      Zones.push_back(Each.Agent % 4);
+    }
+    Out = this->notHeld(9, Sent[0].second.Search);
+  }
+  ASSERT_EQ(Zones.size(), All.size());
+  std::size_t Changes = 0;
+  for (std::size_t I = MaxSearchPart + 1; I < Zones.size(); ++I) {
+    Changes += Zones[I] == Zones[I - 1] ? 0 : 1;
+  }
+  EXPECT_EQ(Changes, 3U);
+}
+
+struct JointRestartRow {
+  std::string Name;
+  bool IsJointRestart = true;
+  Duration Uptime{};
+  bool AsksAtOnce = false;
+};
+
+class JointRestartTest : public SteeringTest,
+                         public testing::WithParamInterface<JointRestartRow> {};
+
+// Guards against callers of lost flows that wait for two passes after a loss of
+// power, when the agents know no flow of before.
+TEST_P(JointRestartTest, UpstreamsAreAskedAtOnceAfterALossOfPower) {
+  this->Listing.SettledAt = this->Now + ReregistrationGrace;
+  std::vector<ListedUpstream> All = {upstream(1), upstream(2), upstream(3)};
+  for (ListedUpstream &Each : All) {
+    Each.StartedAt = UnixStart;
+  }
+  if (!GetParam().IsJointRestart) {
+    All[1].StartedAt = UnixStart - std::chrono::minutes(1);
+  }
+  this->use(All);
+  this->Now += GetParam().Uptime;
+  const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+  ASSERT_EQ(Sent.size(), 1U);
+  EXPECT_EQ(visited(Sent[0]).size(), All.size());
+  EXPECT_EQ(Sent[0].second.KnownOnly, !GetParam().AsksAtOnce);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, JointRestartTest,
+    testing::Values(
+        JointRestartRow{.Name = "allVmsLostPower", .AsksAtOnce = true},
+        JointRestartRow{.Name = "secondsLater",
+                        .Uptime = JointRestartSearchSpan - milliseconds(1),
+                        .AsksAtOnce = true},
+        JointRestartRow{.Name = "longAgo", .Uptime = JointRestartSearchSpan},
+        JointRestartRow{.Name = "anUpstreamLivedOn", .IsJointRestart = false}),
+    [](const auto &Info) { return Info.param.Name; });
+
 struct FormerServiceRow {
   std::string Name;
   /// Whether the balancer saw the version that sent flows to the other service.
