Ask upstreams without a time limit after a loss of power, and split onOpening

Upstreams are asked for a flow for 1 s only, so that packets of a living flow reach no others for longer. After a loss of power of all VMs the flows are gone, and a VM that came back later than that second left their callers without a reset. For 5 s, in which a search does not visit the agents first either, the limit does not count. AskWindowBeginsAfterALossOf Power fails without it.

--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -296,6 +296,11 @@
   void onOpening(const RoutedPacket &Packet,
                  const std::optional<Displaced> &Returned, Instant Now,
                  SteerActionList &Out);
+  void refuseWithoutCandidates(ServiceId Service, const FlowKey &Key,
+                               SteerActionList &Out) const;
+  /// Remembers an opening until an agent answers, so that it is sent again.
+  void trackOpening(const RoutedPacket &Packet, const Steer &Header,
+                    const Candidate &First, Instant Now);
   /// Returns whether the upstream of the flow's owner has not answered yet and
   /// takes no new flows.
   bool isUnansweredAtClosed(const FlowOwners &Owners) const;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -263,14 +263,7 @@
       },
       Order);
   if (Order.empty()) {
-    const bool IsEvacuated = std::ranges::any_of(
-        this->InForce->upstreams(Service), [](const ListedUpstream &Each) {
-          return Each.State == UpstreamState::Ready && Each.IsEvacuated;
-        });
-    Out.emplace_back(record(IsEvacuated ? Decision::RefusedEvacuated
-                                        : Decision::RefusedNoUpstream,
-                            Key));
-    Out.emplace_back(RejectOpening{Key});
+    this->refuseWithoutCandidates(Service, Key, Out);
     return;
   }
   if (!this->admitToLink(*Matched, Packet, Now, Out)) {
@@ -289,9 +282,29 @@
   this->setColdLimit(Service, First, Header, Now);
   Out.emplace_back(record(Decision::OpeningSent, Key, First.Agent));
   this->sendTo(First.Agent, Header, Packet.Bytes, Now, Out);
+  this->trackOpening(Packet, Header, First, Now);
+}
+
+void SteeringLogic::refuseWithoutCandidates(ServiceId Service,
+                                            const FlowKey &Key,
+                                            SteerActionList &Out) const {
+  const bool IsEvacuated = std::ranges::any_of(
+      this->InForce->upstreams(Service), [](const ListedUpstream &Each) {
+        return Each.State == UpstreamState::Ready && Each.IsEvacuated;
+      });
+  Out.emplace_back(record(IsEvacuated ? Decision::RefusedEvacuated
+                                      : Decision::RefusedNoUpstream,
+                          Key));
+  Out.emplace_back(RejectOpening{Key});
+}
+
+void SteeringLogic::trackOpening(const RoutedPacket &Packet,
+                                 const Steer &Header, const Candidate &First,
+                                 Instant Now) {
   if (this->UnansweredOpenings.size() >= MaxUnansweredOpenings) {
     return;
   }
+  const FlowKey Key = Packet.View.callerFlow();
   const auto [Found, IsNew] = this->UnansweredOpenings.try_emplace(Key);
   UnansweredOpening &Each = Found->second;
   // The caller's retransmission keeps the scheduled resend of the original.
@@ -419,12 +432,11 @@
   // An upstream gets a packet of another one's flow only if no agent knows the
   // flow: an agent has restarted, or the flow is gone. Otherwise a flow whose
   // packets are lost on the way to its upstream would reach others meanwhile.
-  const bool MayAsk = this->mayAsk(Key, Now);
   // After a loss of power of all VMs, most flows that are searched for are
   // gone.
   const bool AsksAtOnce =
-      MayAsk && IsJointRestart &&
-      Now - this->Settings.StartedAt < JointRestartSearchSpan;
+      IsJointRestart && Now - this->Settings.StartedAt < JointRestartSearchSpan;
+  const bool MayAsk = AsksAtOnce || this->mayAsk(Key, Now);
   for (const RankedCandidate &Each : Order) {
     if (MayAsk) {
       Begun.ToAsk.push_back(Each.Target);
@@ -436,7 +448,9 @@
     }
   }
   if (Begun.Remaining.empty()) {
-    this->AskedFlows.try_emplace(Key, Now);
+    if (!AsksAtOnce) {
+      this->AskedFlows.try_emplace(Key, Now);
+    }
     Begun.beginToAsk();
   }
   this->sendPart(Number, Begun, Packet.Bytes, Now, Out);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -886,6 +886,26 @@
         JointRestartRow{.Name = "anUpstreamLivedOn", .IsJointRestart = false}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against callers of lost flows that learn nothing because a part of the
+// VMs came back after the time for which upstreams may be asked otherwise.
+TEST_F(SteeringTest, AskWindowBeginsAfterALossOfPower) {
+  this->Listing.SettledAt = this->Now + ReregistrationGrace;
+  ListedUpstream Restarted = upstream(1);
+  Restarted.StartedAt = UnixStart;
+  this->use({Restarted});
+  const auto IsAsked = [this] {
+    const auto Sent = sent<Steer>(this->packet(callerPacket(9, 501, true)));
+    return !Sent.at(0).second.KnownOnly;
+  };
+  EXPECT_TRUE(IsAsked());
+  this->Now += JointRestartSearchSpan - milliseconds(1);
+  EXPECT_TRUE(IsAsked());
+  this->Now += milliseconds(1);
+  (void)this->exhaustSearch(9);
+  this->Now += AskWindow;
+  EXPECT_FALSE(IsAsked());
+}
+
 struct FormerServiceRow {
   std::string Name;
   /// Whether the balancer saw the version that sent flows to the other service.
