--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -169,6 +169,10 @@
   /// Since when every version of the routes has been applied; empty if that is
   /// not known.
   std::optional<Instant> RoutesKnownSince{};
+  /// Whether there are entries of services that the configuration does not
+  /// name, at addresses that no other entry has. An earlier version may have
+  /// named them, so that they may hold flows.
+  bool HasUnnamedServices = false;
 };
 
 /// An immutable snapshot of routes and upstreams.
--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -322,6 +322,9 @@
   /// are. Where versions of the routes may be unknown, that is every service.
   std::vector<ServiceId> flowServices(const Route &Matched, Instant Now) const;
   bool knowsAllRoutes(Instant Now) const;
+  /// Returns whether a service that an earlier version of the routes named may
+  /// hold flows, and is not among those that are asked.
+  bool mayMissServices(Instant Now) const;
   /// Returns whether no living upstream of the services can be missing from the
   /// directory, provided that the source confirms it.
   bool isListingComplete(std::span<const ServiceId> Services,
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <ranges>
 #include <set>
 
 #include "mulberryhoist/log.h"
@@ -453,6 +454,15 @@
       }
       All.back().IsEvacuated = this->isEvacuated(Each.Listed.AvailabilityZone);
     }
+    const auto IsUnnamed = [&](const ListedUpstream &Each) {
+      return Each.IsReadable && !this->namesUpstream(Each) &&
+             !Newest.contains(Each.Address);
+    };
+    this->Listing.HasUnnamedServices =
+        std::ranges::any_of(this->Foreign | std::views::values, IsUnnamed) ||
+        std::ranges::any_of(this->Entries, [&](const auto &Each) {
+          return IsUnnamed(Each.second.Listed);
+        });
     std::vector<Evacuation> Evacuated;
     for (const auto &[Zone, Each] : this->Evacuations) {
       Evacuated.push_back(Each.Latest);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -471,6 +471,12 @@
   return IsKnownFromStart || (Since && Now - *Since >= FlowLifetime);
 }
 
+bool SteeringLogic::mayMissServices(Instant Now) const {
+  return this->InForce->completeness().HasUnnamedServices &&
+         !this->knowsAllRoutes(Now) &&
+         !this->isJointRestart(this->InForce->services());
+}
+
 std::vector<ServiceId> SteeringLogic::flowServices(const Route &Matched,
                                                    Instant Now) const {
   std::vector<ServiceId> Services;
@@ -620,6 +626,7 @@
                         Services.size() <= MaxSteerServices &&
                         Result.Edition == this->InForce->edition() &&
                         this->FlowsNotHeld.size() < MaxSearches &&
+                        !this->mayMissServices(Result.ReportedAt) &&
                         this->isListingComplete(Services, Result.ReportedAt);
   Out.emplace_back(
       record(MayReset ? Decision::FlowNotHeld : Decision::FlowNotHeldIgnored,
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -38,6 +38,41 @@
   EXPECT_EQ(this->Builder.version(), 7U);
 }
 
+struct UnnamedServiceRow {
+  std::string Name;
+  ServiceId Service = TemplateService;
+  /// The number of the agent at whose address the entry is.
+  std::uint32_t Address = 2;
+  bool IsReadable = true;
+  bool IsUnnamed = false;
+};
+
+class UnnamedServiceTest
+    : public DirectoryBuilderTest,
+      public testing::WithParamInterface<UnnamedServiceRow> {};
+
+// Guards against the reset of a flow at an upstream whose service no route
+// names any more, by a balancer that has not seen the earlier version.
+TEST_P(UnnamedServiceTest, EntryOfAnUnnamedServiceIsNoticed) {
+  ASSERT_TRUE(this->Builder.onRoutes(routes(1), true, this->Now).has_value());
+  ListedUpstream Other = upstream(GetParam().Address);
+  Other.Name = "i-other";
+  Other.Service = GetParam().Service;
+  Other.IsReadable = GetParam().IsReadable;
+  this->Builder.onListing({upstream(1), Other}, this->Now);
+  EXPECT_EQ(this->Builder.current()->completeness().HasUnnamedServices,
+            GetParam().IsUnnamed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, UnnamedServiceTest,
+    testing::Values(
+        UnnamedServiceRow{.Name = "ownAddress", .IsUnnamed = true},
+        UnnamedServiceRow{.Name = "addressOfAnother", .Address = 1},
+        UnnamedServiceRow{.Name = "unreadable", .IsReadable = false},
+        UnnamedServiceRow{.Name = "named", .Service = OrderService}),
+    [](const auto &Info) { return Info.param.Name; });
+
 struct FormerTargetRow {
   std::string Name;
   /// The services of successive versions; none if the route is removed.
--- a/test/platform-adapter-test.cc
+++ b/test/platform-adapter-test.cc
@@ -202,7 +202,8 @@
         {"name":"c","host":"198.18.0.1","prefix":"8443","backend":"orders"},
         {"name":"d","host":"198.18.0.1","prefix":"/8443/"},
         {"name":"e","host":"198.18.0.1","prefix":"/443/","split":[
-          {"backend":"x","weight":90},{"backend":"y","weight":0}]},
+          {"backend":"x","weight":90},{"backend":"y","weight":0},
+          {"backend":"z","weight":0}]},
         17],"backends":[{"name":"orders","cold_per_s":20.5},
           {"name":"y","cold_per_s":0.0},{"name":7,"cold_per_s":1},8]})");
   ASSERT_TRUE(Read.has_value());
@@ -212,7 +213,9 @@
   EXPECT_EQ(Read->Routes[0].Goal, milliseconds(200));
   EXPECT_EQ(Read->Routes[0].Timeout, milliseconds(1200));
   EXPECT_EQ(Read->Routes[1].Targets.size(), 1U);
-  EXPECT_EQ(Read->Services, (std::vector{serviceId("orders"), serviceId("y")}));
+  // Upstreams of a service without weight may still hold flows.
+  EXPECT_EQ(Read->Services, (std::vector{serviceId("x"), serviceId("y"),
+                                         serviceId("z"), serviceId("orders")}));
   // A rate of 0 is none.
   ASSERT_EQ(Read->ColdRates.size(), 1U);
   EXPECT_EQ(Read->ColdRates.at(serviceId("orders")), 20.5);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -409,6 +409,9 @@
     Rows, SteeringSilenceTest,
     testing::Values(
         // An upstream registered after the search began.
+        SilenceRow{.Name = "serviceNotNamedAnyMore",
+                   .Listing = {3, LongAgo, std::nullopt, true},
+                   .UpstreamsStarted = -std::chrono::minutes(5)},
         SilenceRow{.Name = "olderSearch",
                    .Listing = {3, LongAgo},
                    .IsUpstreamAdded = true,
