--- a/src/directory.cc
+++ b/src/directory.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <ranges>
 #include <set>
 
 #include "mulberryhoist/log.h"
@@ -459,7 +458,9 @@
              !Newest.contains(Each.Address);
     };
     this->Listing.HasUnnamedServices =
-        std::ranges::any_of(this->Foreign | std::views::values, IsUnnamed) ||
+        std::ranges::any_of(
+            this->Foreign,
+            [&](const auto &Each) { return IsUnnamed(Each.second); }) ||
         std::ranges::any_of(this->Entries, [&](const auto &Each) {
           return IsUnnamed(Each.second.Listed);
         });
