Review: case 10, a process whose log reader stalls hangs at its stop

Cause: the log's thread keeps the lock of stdout in a blocked write, and the flush at exit waits for it.

--- a/review/kit-2.hpp
+++ b/review/kit-2.hpp
@@ -517,6 +517,8 @@
   std::vector<std::uint32_t> Seeds;
   std::string Backend;
   std::string ExtraBounds;
+  // Where the process writes its log; a file in the folder if it is not set.
+  int LogTo = -1;
 
   // Places the settings file, in one step.
   void writeSettings() const {
@@ -583,7 +585,9 @@
       if (getppid() != Parent) {
         _exit(127);
       }
-      const int Out = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int Out = this->LogTo >= 0 ? this->LogTo
+                                       : open(Log.c_str(),
+                                              O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(Out, 1);
       dup2(Out, 2);
       std::vector<char *> Arguments;
