Ask every service after a start of all VMs before a flow is reset

Callers saw resets of open flows at living upstreams: after a loss of power of all VMs, a balancer that came back 1.4 s after the others reset each flow that moved to it.

Cause: a balancer that started at most 3 s after all upstreams took it that no flow is older than itself. Another balancer that was back earlier opens flows by versions of the routes that the late one never sees. It then asked only the service of the newest version.

Change: a start together with the upstreams proves nothing about the routes; only having followed them for the life of a flow does. The same assumption is removed where entries of unnamed services forbid a reset.

Test: the rows allVmsLostPower and allVmsLostPowerBefore of FormerServiceTest asserted the fault and now demand the opposite; with the row serviceNotNamedSinceALossOfPower they failed before the fix (3 of 82 tests of steering-test), and pass with it.

--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -321,6 +321,9 @@
   /// the current routes first: a change of the routes leaves flows where they
   /// are. Where versions of the routes may be unknown, that is every service.
   std::vector<ServiceId> flowServices(const Route &Matched, Instant Now) const;
+  /// Returns whether the balancer has seen every version of the routes by which
+  /// a flow may have been opened. A balancer that started together with all
+  /// upstreams has not: others may have opened flows before its first version.
   bool knowsAllRoutes(Instant Now) const;
   /// Returns whether a service that an earlier version of the routes named may
   /// hold flows, and is not among those that are asked.
@@ -374,9 +377,6 @@
   LinkBudget Link;
   bool IsLinkFull = false;
   std::shared_ptr<const Directory> InForce;
-  /// Whether all upstreams started together with the balancer, so that no flow
-  /// is older than it.
-  bool HasStartedWithFleet = false;
   OwnerMap RecentOwners;
   OwnerMap OlderOwners;
   Instant RotateAt;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -121,10 +121,6 @@
 
 void SteeringLogic::onDirectory(std::shared_ptr<const Directory> Next) {
   this->InForce = std::move(Next);
-  const auto Services = this->InForce->services();
-  this->HasStartedWithFleet =
-      this->HasStartedWithFleet ||
-      (!Services.empty() && this->isJointRestart(Services));
   std::erase_if(this->Agents, [this](const auto &Each) {
     return !this->InForce->knowsAgent(Each.first);
   });
@@ -465,16 +461,12 @@
 
 bool SteeringLogic::knowsAllRoutes(Instant Now) const {
   const auto &Since = this->InForce->completeness().RoutesKnownSince;
-  const bool IsKnownFromStart =
-      this->HasStartedWithFleet && Since &&
-      *Since - this->Settings.StartedAt <= JointRestartSpan;
-  return IsKnownFromStart || (Since && Now - *Since >= FlowLifetime);
+  return Since && Now - *Since >= FlowLifetime;
 }
 
 bool SteeringLogic::mayMissServices(Instant Now) const {
   return this->InForce->completeness().HasUnnamedServices &&
-         !this->knowsAllRoutes(Now) &&
-         !this->isJointRestart(this->InForce->services());
+         !this->knowsAllRoutes(Now);
 }
 
 std::vector<ServiceId> SteeringLogic::flowServices(const Route &Matched,
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -408,10 +408,14 @@
 INSTANTIATE_TEST_SUITE_P(
     Rows, SteeringSilenceTest,
     testing::Values(
-        // An upstream registered after the search began.
         SilenceRow{.Name = "serviceNotNamedAnyMore",
                    .Listing = {3, LongAgo, std::nullopt, true},
                    .UpstreamsStarted = -std::chrono::minutes(5)},
+        // The same after a loss of power: other balancers may have been back
+        // while the service had a name.
+        SilenceRow{.Name = "serviceNotNamedSinceALossOfPower",
+                   .Listing = {3, AtStart, Begin, true}},
+        // An upstream registered after the search began.
         SilenceRow{.Name = "olderSearch",
                    .Listing = {3, LongAgo},
                    .IsUpstreamAdded = true,
@@ -980,11 +984,18 @@
         FormerServiceRow{.Name = "startedShorterAgo",
                          .KnownFor = FlowLifetime - milliseconds(1),
                          .IsSearched = true},
-        // After a loss of power no flow is older than the balancer.
-        FormerServiceRow{.Name = "allVmsLostPower", .IsJointRestart = true},
+        // After a loss of power, other balancers that came back earlier may have
+        // opened flows by a version that this one has not seen (review case 6).
+        FormerServiceRow{.Name = "allVmsLostPower",
+                         .IsJointRestart = true,
+                         .IsSearched = true},
         FormerServiceRow{.Name = "allVmsLostPowerBefore",
                          .IsJointRestart = true,
-                         .Uptime = std::chrono::seconds(20)},
+                         .Uptime = std::chrono::seconds(20),
+                         .IsSearched = true},
+        FormerServiceRow{.Name = "allVmsLostPowerALifetimeAgo",
+                         .KnownFor = FlowLifetime,
+                         .IsJointRestart = true},
         FormerServiceRow{.Name = "missedAVersionSince",
                          .IsJointRestart = true,
                          .Uptime = std::chrono::seconds(20),
