Read the settings before an opening reaches an upstream that was silent

Callers got answers of another service: for up to a quarter of a second after the address of a crashed upstream had gone to a different service, the agent delivered openings of the former service to the new upstream, which ran them.

Cause: the agent learns the service of its upstream from the settings file, which it read four times a second, and trusted it between two reads however long the upstream had been silent.

Change: the address of an upstream that has ended stays unused for a time (`bounds.reuse_s`). Once the upstream has sent nothing for half of that time, the data thread reads the settings before it delivers an opening, keeps one held, or handles the first packet after the silence.

--- a/include/mulberryhoist/steering-agent-data.h
+++ b/include/mulberryhoist/steering-agent-data.h
@@ -5,6 +5,7 @@
 #define MULBERRYHOIST_STEERING_AGENT_DATA_H
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -25,6 +26,12 @@
   ServiceId Service;
   /// The port at which callers receive packets.
   std::uint16_t CallerPort = 0;
+  /// `SteeringAgentSettings::AddressReuse`.
+  Duration AddressReuse = std::chrono::seconds(2);
+  /// Reads the settings again and calls `setUpstream` if the upstream has been
+  /// replaced; called by the data thread. If it is empty, the settings count as
+  /// up to date.
+  std::function<void()> RefreshUpstream;
 };
 
 /// Interval at which the state that `dump` shows is copied.
@@ -49,17 +56,29 @@
         Settings, Metrics, std::move(*Peers), std::move(*FromUpstream)));
   }
 
+  /// Returns the address that receives messages of balancers and agents.
+  Endpoint peersAddress() const { return this->Peers.address(); }
+
+  /// Returns the address that receives packets of the upstream.
+  Endpoint fromUpstreamAddress() const { return this->FromUpstream.address(); }
+
   /// Serves the sockets until a stop is requested; each run starts with empty
   /// flow state, while the sockets stay bound.
   Result<void> run(const std::stop_token &Stop) {
-    SteeringAgentLogic Logic({this->Service, this->Settings.Peers.Address,
-                              this->Settings.Peers.Port},
-                             now());
+    SteeringAgentSettings LogicSettings;
+    LogicSettings.Service = this->Service;
+    LogicSettings.Address = this->Settings.Peers.Address;
+    LogicSettings.PeerPort = this->Settings.Peers.Port;
+    LogicSettings.AddressReuse = this->Settings.AddressReuse;
+    SteeringAgentLogic Logic(LogicSettings, now());
     SteerActionList Out;
     Out.reserve(SteerActionReserve);
     while (!Stop.stop_requested()) {
       const Instant Now = now();
       this->applyPendingChanges(Logic, Out, Now);
+      if (Logic.holdsOpenings()) {
+        this->refreshUpstream(Logic);
+      }
       const bool HasNoPackets = this->readUpstream(Logic, Out, Now);
       const bool HasNoMessages = this->readMessages(Logic, Out, Now);
       Logic.onTick(Now, Out);
@@ -174,14 +193,27 @@
 
   void applyPendingChanges(SteeringAgentLogic &Logic, SteerActionList &Out,
                            Instant Now) {
-    Logic.onService(this->Service);
-    this->Output.Upstream = this->Upstream;
+    this->applyUpstream(Logic);
     if (this->Terminating) {
       Logic.onTerminate(Now, Out);
       this->Output.perform(Out, Now);
     }
   }
 
+  void applyUpstream(SteeringAgentLogic &Logic) {
+    Logic.onService(this->Service);
+    this->Output.Upstream = this->Upstream;
+  }
+
+  /// Reads the settings again if the upstream may have been replaced.
+  void refreshUpstream(SteeringAgentLogic &Logic) {
+    // The process may have been suspended since the iteration began.
+    if (this->Settings.RefreshUpstream && Logic.mayBeReplaced(now())) {
+      this->Settings.RefreshUpstream();
+      this->applyUpstream(Logic);
+    }
+  }
+
   bool readUpstream(SteeringAgentLogic &Logic, SteerActionList &Out,
                     Instant Now) {
     return receivePending(this->FromUpstream,
@@ -191,6 +223,7 @@
                               this->Output.report(Packet.error(), Now);
                               return;
                             }
+                            this->refreshUpstream(Logic);
                             Logic.onUpstreamPacket(*Packet, Now, Out);
                             this->Output.perform(Out, Now);
                           });
@@ -233,6 +266,9 @@
       this->Output.report(Packet.error(), Now);
       return;
     }
+    if (Packet->View.isOpening()) {
+      this->refreshUpstream(Logic);
+    }
     Logic.onSteer(*Header, *Packet, Now, Out);
   }
 
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -86,6 +86,9 @@
   /// The port at which all balancers and agents receive messages.
   std::uint16_t PeerPort = 0;
   std::size_t MaxFlows = 65'536;
+  /// How long an address stays unused after its upstream has ended, before an
+  /// upstream of another service may get it.
+  Duration AddressReuse = std::chrono::seconds(2);
 };
 
 /// What happened to the openings of one class that found no free slot.
@@ -123,6 +126,17 @@
   /// the upstream was replaced then.
   void onService(ServiceId Next);
 
+  /// Returns whether an upstream of another service may have replaced the one
+  /// that the agent knows: the settings must be read again before an opening is
+  /// delivered, or a packet of the upstream is handled.
+  bool mayBeReplaced(Instant Now) const {
+    // An upstream that sent a packet since half of the time has not been
+    // replaced when the agent next looks.
+    return Now - this->LastUpstreamPacket >= this->Settings.AddressReuse / 2;
+  }
+
+  bool holdsOpenings() const { return !this->HeldOpenings.empty(); }
+
   /// Starts the drain after SIGTERM and notifies the balancers of it.
   void onTerminate(Instant Now, SteerActionList &Out);
 
--- a/test/platform-adapter-test.cc
+++ b/test/platform-adapter-test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <fmt/format.h>
 
 #include "boot-settings.h"
 #include "packet-codec.h"
@@ -283,6 +284,34 @@
   }
 }
 
+struct AddressReuseRow {
+  std::string_view Value;
+  milliseconds Expected;
+};
+
+class AddressReuseTest : public testing::TestWithParam<AddressReuseRow> {};
+
+// Guards against an agent that trusts its settings longer than the address of
+// an upstream that has ended stays unused.
+TEST_P(AddressReuseTest, IsReadFromTheBounds) {
+  std::string Text(GoodSettings);
+  Text.replace(Text.find("cold_slack"), 0,
+               fmt::format("reuse_s = {}\n", GetParam().Value));
+  const auto Read = parseBootSettings(Text);
+  ASSERT_TRUE(Read.has_value()) << Read.error().Detail;
+  EXPECT_EQ(Read->AddressReuse, GetParam().Expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, AddressReuseTest,
+    testing::Values(AddressReuseRow{"3", milliseconds(3000)},
+                    AddressReuseRow{"0.5", milliseconds(500)},
+                    AddressReuseRow{"0", milliseconds(0)},
+                    AddressReuseRow{"-1", milliseconds(2000)},
+                    AddressReuseRow{"nan", milliseconds(2000)},
+                    AddressReuseRow{"1e300", std::chrono::hours(1)},
+                    AddressReuseRow{"\"x\"", milliseconds(2000)}));
+
 struct BadSettingsRow {
   std::string_view Line;
   std::string_view Replacement;
