Log which way a search for the holder of a flow takes

A search asks the agents first, then the upstreams, and skips upstreams that returned a packet of the flow or send nothing.

Change: flow_unknown, upstreams_asked, upstream_spared and upstream_unanswered are decisions of their own; packet_returned now means that the upstream returned the packet, also for the last one of a list. All count as steps, so that they use up no lines of outcomes.

Test: ForeignNoticesAndResetsEndNoFlow counted the actions; it still does, with the new record, whose kind it checks.

--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -59,10 +59,14 @@
   OpeningDisplaced,   ///< An agent gave the opening back; placed anew.
   LinkFull,           ///< The balancer begins to refuse transfers.
   LinkClear,          ///< No transfer was refused for a while.
+  FlowUnknown,    ///< The agent does not know the flow that is searched for.
+  UpstreamsAsked, ///< No agent knows the flow; the upstreams are asked.
+  UpstreamSpared, ///< The upstream returned a packet of the flow before.
+  UpstreamUnanswered, ///< The upstream was asked for the flow and sent nothing.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 39;
+inline constexpr std::size_t DecisionCount = 43;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -260,8 +260,11 @@
   }
   void take(const Steer &Header, const FlowIncarnation &Flow, PacketBytes Bytes,
             Instant Now, SteerActionList &Out);
+  /// Sends a packet to the next candidate, or back to its balancer; `Cause`
+  /// says why the packet of a flow does not stay here.
   void forwardToNext(const Steer &Header, const RoutedPacket &Packet,
-                     SteerActionList &Out);
+                     SteerActionList &Out,
+                     Decision Cause = Decision::PacketReturned);
   void onFlowPacket(const Steer &Header, const RoutedPacket &Packet,
                     Instant Now, SteerActionList &Out);
   /// Returns whether the upstream has accepted the flow by a SYN-ACK that the
--- a/src/decision-log.cc
+++ b/src/decision-log.cc
@@ -51,6 +51,10 @@
   case Decision::OwnerSought:
   case Decision::OpeningTurnedAway:
   case Decision::OpeningDisplaced:
+  case Decision::FlowUnknown:
+  case Decision::UpstreamsAsked:
+  case Decision::UpstreamSpared:
+  case Decision::UpstreamUnanswered:
     return LineKind::Step;
   default:
     return LineKind::Outcome;
--- a/src/steer-actions.cc
+++ b/src/steer-actions.cc
@@ -18,7 +18,9 @@
     "request_overdue",       "load_expired",        "upstream_silent",
     "upstream_answers",      "pause_noticed",       "refused_evacuated",
     "intake_closed",         "intake_opened",       "opening_turned_away",
-    "opening_displaced",     "link_full",           "link_clear"};
+    "opening_displaced",     "link_full",           "link_clear",
+    "flow_unknown",          "upstreams_asked",     "upstream_spared",
+    "upstream_unanswered"};
 
 } // namespace
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -389,10 +389,15 @@
 
 void SteeringAgentLogic::forwardToNext(const Steer &Header,
                                        const RoutedPacket &Packet,
-                                       SteerActionList &Out) {
+                                       SteerActionList &Out, Decision Cause) {
   const FlowKey Key = Packet.View.callerFlow();
   const bool IsOpening = Packet.View.isOpening();
+  RecordDecision Record =
+      this->record(IsOpening ? Decision::OpeningPassedOn : Cause, Key, Header);
   if (Header.Next.empty()) {
+    if (!IsOpening) {
+      Out.emplace_back(Record);
+    }
     Out.emplace_back(this->record(IsOpening ? Decision::OpeningDropped
                                             : Decision::OwnerNotFound,
                                   Key, Header));
@@ -408,9 +413,6 @@
   NextHeader.Slots = Next.Slots;
   NextHeader.ColdLeft = Next.ColdLeft;
   ++NextHeader.Hops;
-  RecordDecision Record = this->record(IsOpening ? Decision::OpeningPassedOn
-                                                 : Decision::PacketReturned,
-                                       Key, Header);
   Record.Agent = Next.Agent;
   Out.emplace_back(Record);
   Out.emplace_back(SendSteer{
@@ -430,7 +432,7 @@
     NextHeader.Incomplete = Header.Incomplete ||
                             Foreign == this->ForeignFlows.end() ||
                             !Foreign->second.hasReturned(Packet.View);
-    this->forwardToNext(NextHeader, Packet, Out);
+    this->forwardToNext(NextHeader, Packet, Out, Decision::FlowUnknown);
     return;
   }
   if (Found != this->Flows.end()) {
@@ -486,7 +488,7 @@
   }
   ForeignFlow &Each = this->ForeignFlows[Packet.View.callerFlow()];
   if (Each.hasReturned(Packet.View)) {
-    this->forwardToNext(Header, Packet, Out);
+    this->forwardToNext(Header, Packet, Out, Decision::UpstreamSpared);
     return;
   }
   if (this->isUnanswered(Each, Now)) {
@@ -495,7 +497,7 @@
     Out.emplace_back(ForwardToUpstream{Packet.Bytes, 0});
     Steer NextHeader = Header;
     NextHeader.Incomplete = true;
-    this->forwardToNext(NextHeader, Packet, Out);
+    this->forwardToNext(NextHeader, Packet, Out, Decision::UpstreamUnanswered);
     return;
   }
   Each = {Packet.View.Acknowledgment, Now, false};
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -447,6 +447,7 @@
     if (!AsksAtOnce) {
       this->AskedFlows.try_emplace(Key, Now);
     }
+    Out.emplace_back(record(Decision::UpstreamsAsked, Key));
     Begun.beginToAsk();
   }
   this->sendPart(Number, Begun, Packet.Bytes, Now, Out);
@@ -588,6 +589,7 @@
                            static_cast<std::ptrdiff_t>(Each.PartSize));
   if (Each.Remaining.empty() && !Each.ToAsk.empty() && this->mayAsk(Key, Now)) {
     this->AskedFlows.try_emplace(Key, Now);
+    Out.emplace_back(record(Decision::UpstreamsAsked, Key));
     Each.beginToAsk();
   }
   const Route *Matched = this->InForce->findRoute(Key.Service);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -677,7 +677,8 @@
     this->Logic.onNotHeld({agentAddress(3), PeerPort}, {Search}, Reset,
                           this->Now, Out);
     EXPECT_EQ(sent<Steer>(Out).size(), Parts);
-    EXPECT_EQ(Out.size(), Parts);
+    EXPECT_EQ(decided(Out, Decision::UpstreamsAsked), Parts == 1);
+    EXPECT_EQ(Out.size(), 2 * Parts);
   }
   EXPECT_FALSE(this->Logic.awaitsConfirmation());
 }
