Let a search pass a silent upstream without waiting for the caller

Callers of open flows got no answer if other upstreams had crashed and no agent knew the flow, as after the restart of its own agent.

Cause: a search gave the packet to each crashed upstream, which returned nothing, and went on only when the caller sent the packet again, 200, 600 and 1,400 ms later. Behind three crashed upstreams, the holder was not reached within the second for which upstreams are asked.

Change: the agent keeps a searched packet that its upstream was sent, and passes it on if the upstream sends nothing for 12 ms. A copy that comes back later is not passed on again. Packets of the upstream are counted: by the times alone, one that was read together with the search counted as an answer.

--- a/include/mulberryhoist/steering-agent-data.h
+++ b/include/mulberryhoist/steering-agent-data.h
@@ -96,7 +96,11 @@
       if (HasNoPackets && HasNoMessages) {
         const std::array<const DatagramSocket *, 2> Sockets = {
             &this->Peers, &this->FromUpstream};
-        DatagramSocket::waitAny(Sockets, LongestWait);
+        const Instant Waiting = now();
+        const Instant Latest = Waiting + LongestWait;
+        const Instant Until =
+            std::min(Logic.nextDue().value_or(Latest), Latest);
+        DatagramSocket::waitAny(Sockets, Until - Waiting);
       }
     }
     return {};
--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -59,6 +59,11 @@
 /// single one may be lost.
 inline constexpr std::uint32_t UnansweredOpeningsLimit = 2;
 
+/// The most packets of searches that are kept until the upstream has answered;
+/// bounds memory, at 1.3 kB each. A further one goes on only when its caller
+/// sends it again.
+inline constexpr std::size_t MaxAskedPackets = 256;
+
 /// Interval at which a silent upstream is probed with an opening.
 inline constexpr Duration SilentProbePeriod = std::chrono::milliseconds(100);
 
@@ -140,9 +145,13 @@
   /// Starts the drain after SIGTERM and notifies the balancers of it.
   void onTerminate(Instant Now, SteerActionList &Out);
 
-  /// Expires flows and held openings; to be called several times a second.
+  /// Expires flows and held openings; to be called several times a second, and
+  /// when `nextDue` is reached.
   void onTick(Instant Now, SteerActionList &Out);
 
+  /// Returns until when an upstream may answer a search, if one waits for it.
+  std::optional<Instant> nextDue() const;
+
   /// Returns true once a stopping process may exit.
   bool isDrained(Instant Now) const;
 
@@ -212,6 +221,8 @@
     /// or has returned.
     std::uint32_t Acknowledgment = 0;
     std::optional<Instant> AskedAt;
+    /// How many packets the upstream had sent then.
+    std::uint64_t PacketsBefore = 0;
     /// Whether the upstream has returned a packet: it accepts the flow only by
     /// an opening, which the agent would see.
     bool IsReturned = false;
@@ -221,6 +232,15 @@
     bool hasReturned(const PacketView &Packet) const;
   };
 
+  /// A packet of a search, which goes on if the upstream stays silent.
+  struct AskedPacket {
+    std::uint32_t Tag = 0;
+    PacketView View;
+    std::vector<std::uint8_t> Bytes;
+    Instant AskedAt;
+    std::uint64_t PacketsBefore = 0;
+  };
+
   using FlowMap = std::unordered_map<FlowKey, SteeringAgentFlow>;
 
   /// Packets that can be in flight to the upstream and back; it responds within
@@ -275,6 +295,8 @@
   void askUpstream(const Steer &Header, const RoutedPacket &Packet, Instant Now,
                    SteerActionList &Out);
   bool isUnanswered(const ForeignFlow &Each, Instant Now) const;
+  /// Passes packets of searches on that the upstream has not answered in time.
+  void passOnUnanswered(Instant Now, SteerActionList &Out);
   void onFlowReturned(const PacketView &Packet);
   void trackRequest(SteeringAgentFlow &Flow, const Steer &Header,
                     const PacketView &Packet, Instant Now);
@@ -305,6 +327,8 @@
   /// Keeps packets from upstreams that have returned earlier ones.
   std::unordered_map<FlowKey, ForeignFlow> ForeignFlows;
   /// Ordered by time, oldest first.
+  std::deque<AskedPacket> AskedPackets;
+  /// Ordered by time, oldest first.
   std::deque<AwaitedRequest> Awaited;
   OpeningQueue HeldOpenings;
   IntakeState Intake;
@@ -327,6 +351,7 @@
   Instant UnansweredSince;
   bool Silent = false;
   Instant LastUpstreamPacket;
+  std::uint64_t UpstreamPackets = 0;
   Instant LastFlowPacket;
   Instant NextSilentProbe;
   Instant NextSweep;
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -476,7 +476,7 @@
 bool SteeringAgentLogic::isUnanswered(const ForeignFlow &Each,
                                       Instant Now) const {
   return this->Silent ||
-         (Each.AskedAt && this->LastUpstreamPacket < *Each.AskedAt &&
+         (Each.AskedAt && this->UpstreamPackets == Each.PacketsBefore &&
           Now - *Each.AskedAt >= UpstreamResponseTimeout);
 }
 
@@ -500,16 +500,48 @@
     this->forwardToNext(NextHeader, Packet, Out, Decision::UpstreamUnanswered);
     return;
   }
-  Each = {Packet.View.Acknowledgment, Now, false};
-  Out.emplace_back(
-      ForwardToUpstream{Packet.Bytes, this->recordForwarded(Header)});
+  Each = {Packet.View.Acknowledgment, Now, this->UpstreamPackets, false};
+  const std::uint32_t Tag = this->recordForwarded(Header);
+  if (Header.Search != 0 && this->AskedPackets.size() < MaxAskedPackets) {
+    this->AskedPackets.push_back({Tag,
+                                  Packet.View,
+                                  {Packet.Bytes.begin(), Packet.Bytes.end()},
+                                  Now,
+                                  this->UpstreamPackets});
+    this->AskedPackets.back().View.Payload = {};
+  }
+  Out.emplace_back(ForwardToUpstream{Packet.Bytes, Tag});
+}
+
+void SteeringAgentLogic::passOnUnanswered(Instant Now, SteerActionList &Out) {
+  while (!this->AskedPackets.empty() &&
+         Now - this->AskedPackets.front().AskedAt >= UpstreamResponseTimeout) {
+    AskedPacket Each = std::move(this->AskedPackets.front());
+    this->AskedPackets.pop_front();
+    if (this->UpstreamPackets != Each.PacketsBefore) {
+      // An upstream that lives returns what it does not hold.
+      continue;
+    }
+    // A copy that the upstream returns later has been passed on already.
+    std::optional<Steer> Header = this->takeForwarded(Each.Tag);
+    if (!Header) {
+      continue;
+    }
+    Header->Incomplete = true;
+    this->ReleasedBytes.push_back(std::move(Each.Bytes));
+    RoutedPacket Packet;
+    Packet.View = Each.View;
+    Packet.Bytes = this->ReleasedBytes.back();
+    this->forwardToNext(*Header, Packet, Out, Decision::UpstreamUnanswered);
+  }
 }
 
 void SteeringAgentLogic::onFlowReturned(const PacketView &Packet) {
   // A table that is full forgets flows that are asked for again.
   if (this->ForeignFlows.size() < this->Settings.MaxFlows) {
     ForeignFlow &Each = this->ForeignFlows[Packet.callerFlow()];
-    Each = {Packet.Acknowledgment, this->LastUpstreamPacket, true};
+    Each = {Packet.Acknowledgment, this->LastUpstreamPacket,
+            this->UpstreamPackets, true};
   }
 }
 
@@ -568,6 +600,7 @@
   }
   this->UnansweredOpenings = 0;
   this->LastUpstreamPacket = Now;
+  ++this->UpstreamPackets;
   if (Packet.Returned) {
     this->onReturned(Packet, Out);
     return;
@@ -735,6 +768,7 @@
   this->Settings.Service = Next;
   this->Flows.clear();
   this->ForeignFlows.clear();
+  this->AskedPackets.clear();
   this->Awaited.clear();
   this->HeldOpenings.clear();
   this->Intake = {};
@@ -766,6 +800,7 @@
   this->Intake.onTick(Now);
   this->recordIntakeChange(WasClosed, Out);
   this->expireOpenings(Now);
+  this->passOnUnanswered(Now, Out);
   this->serveHeldOpenings(Now, Out);
   if (Now < this->NextSweep) {
     return;
@@ -787,6 +822,13 @@
   }
 }
 
+std::optional<Instant> SteeringAgentLogic::nextDue() const {
+  if (this->AskedPackets.empty()) {
+    return std::nullopt;
+  }
+  return this->AskedPackets.front().AskedAt + UpstreamResponseTimeout;
+}
+
 bool SteeringAgentLogic::isDrained(Instant Now) const {
   if (!this->TerminateAt) {
     return false;
