Check silent agents of a search's later parts along with those of its present

Callers of open flows got no answer for seconds after the loss of many VMs, if their balancer had no other work that showed which agents are silent.

Cause: the same as of a search that stops at crashed upstreams. A search that was stuck had only the agents of its present part of 8 checked, so that each further part with a lost VM cost one more packet of the caller (200, 600, 1,400 and 3,000 ms after the first).

Change: the agents of the following parts that have been silent are checked as well, 64 at most.

Test: the row knownManyVmsLost of steering-search-test (12 of 50 VMs lost, the agent of the holder knows the flow) failed before; the limit is the caller's second retransmission.

--- a/include/mulberryhoist/steering.h
+++ b/include/mulberryhoist/steering.h
@@ -75,11 +75,16 @@
 /// it back; bounds how many of them are out of reach behind a silent one.
 inline constexpr std::size_t MaxSearchPart = 8;
 
-/// How long a part of a search may take before those of its agents that have
-/// been silent are checked: a few milliseconds for each hop, and short enough
-/// that silent agents are suspected when the caller retransmits after 200 ms.
+/// How long a part of a search may take before the agents that it has not
+/// passed yet and that have been silent are checked: a few milliseconds for
+/// each hop, and short enough that silent agents are suspected when the caller
+/// retransmits after 200 ms.
 inline constexpr Duration SearchCheckDelay = std::chrono::milliseconds(60);
 
+/// How many agents a search checks at most, of its present part and of those
+/// after it; bounds the load of a search that is stuck in a large service.
+inline constexpr std::size_t MaxSearchChecks = 64;
+
 /// How long an agent must have sent nothing before a search checks it.
 inline constexpr Duration SearchSilence = std::chrono::milliseconds(100);
 
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -652,8 +652,10 @@
 void SteeringLogic::checkSilentAgents(Search &Each, Instant Now,
                                       SteerActionList &Out) {
   Each.IsChecked = true;
-  for (const Candidate &Asked :
-       std::span(Each.Remaining).first(Each.PartSize)) {
+  // The agents of later parts too: otherwise the search would end in each part
+  // that holds silent ones, and the caller would have to send the packet again.
+  const std::size_t Count = std::min(Each.Remaining.size(), MaxSearchChecks);
+  for (const Candidate &Asked : std::span(Each.Remaining).first(Count)) {
     if (Now - this->Agents[Asked.Agent].LastReceivedAt >= SearchSilence) {
       this->sendCheck(Asked.Agent, Now, Out);
     }
--- a/test/steering-search-test.cc
+++ b/test/steering-search-test.cc
@@ -197,7 +197,8 @@
 
 // Guards against open flows that get no answer because other upstreams have
 // crashed: a search ended at each one until the caller sent the packet again
-// (review case 3, where agents do not know the flow).
+// (review case 3, where agents do not know the flow). It must not end in each
+// part that holds lost VMs, either.
 TEST_P(SteeringSearchMeshTest, ReachesTheHolderPastCrashedUpstreams) {
   for (std::uint32_t Holder = 1; Holder <= GetParam().Upstreams; ++Holder) {
     SearchMesh Mesh(GetParam(), Holder);
@@ -217,6 +218,11 @@
                   .Upstreams = 50,
                   .Crashed = 9,
                   .IsFlowKnown = true},
+        SearchRow{.Name = "knownManyVmsLost",
+                  .Upstreams = 50,
+                  .LostVms = 12,
+                  .IsFlowKnown = true,
+                  .Limit = SendTimes[2]},
         SearchRow{.Name = "unknown"},
         SearchRow{.Name = "unknownOneCrashed", .Crashed = 1},
         SearchRow{.Name = "unknownThreeCrashed", .Crashed = 3},
