Log packets of flows for another service as wrong_service alone

An agent that passed a packet of a flow on because the message was for another service logged it as packet_returned too, although its upstream never got it.

--- a/include/mulberryhoist/steering-agent.h
+++ b/include/mulberryhoist/steering-agent.h
@@ -131,12 +131,11 @@
   /// the upstream was replaced then.
   void onService(ServiceId Next);
 
-  /// Returns whether an upstream of another service may have replaced the one
-  /// that the agent knows: the settings must be read again before an opening is
-  /// delivered, or a packet of the upstream is handled.
+  /// Returns whether the upstream has been silent for so long that one of
+  /// another service may have replaced it. The settings must then be read again
+  /// before an opening is delivered or a packet of the upstream is handled.
   bool mayBeReplaced(Instant Now) const {
-    // An upstream that sent a packet since half of the time has not been
-    // replaced when the agent next looks.
+    // Half of the time leaves room for the agent to look before the end.
     return Now - this->LastUpstreamPacket >= this->Settings.AddressReuse / 2;
   }
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -51,9 +51,11 @@
   this->addBalancer(Header.Balancer);
   this->Slots = Header.Slots;
   if (!Header.Services.contains(this->Settings.Service)) {
-    Out.emplace_back(
-        this->record(Decision::WrongService, Packet.View.callerFlow(), Header));
-    this->forwardToNext(Header, Packet, Out);
+    if (Packet.View.isOpening()) {
+      Out.emplace_back(this->record(Decision::WrongService,
+                                    Packet.View.callerFlow(), Header));
+    }
+    this->forwardToNext(Header, Packet, Out, Decision::WrongService);
     return;
   }
   if (Packet.View.isOpening()) {
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -974,34 +974,35 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Rows, FormerServiceTest,
-    testing::Values(
-        FormerServiceRow{.Name = "versionSeen",
-                         .IsFormerKnown = true,
-                         .KnownFor = std::chrono::hours(1),
-                         .IsSearched = true},
-        FormerServiceRow{.Name = "startedAfterTheChange", .IsSearched = true},
-        FormerServiceRow{.Name = "startedALifetimeAgo",
-                         .KnownFor = FlowLifetime},
-        FormerServiceRow{.Name = "startedShorterAgo",
-                         .KnownFor = FlowLifetime - milliseconds(1),
-                         .IsSearched = true},
-        // After a loss of power, other balancers that came back earlier may have
-        // opened flows by a version that this one has not seen (review case 6).
-        FormerServiceRow{.Name = "allVmsLostPower",
-                         .IsJointRestart = true,
-                         .IsSearched = true},
-        FormerServiceRow{.Name = "allVmsLostPowerBefore",
-                         .IsJointRestart = true,
-                         .Uptime = std::chrono::seconds(20),
-                         .IsSearched = true},
-        FormerServiceRow{.Name = "allVmsLostPowerALifetimeAgo",
-                         .KnownFor = FlowLifetime,
-                         .IsJointRestart = true},
-        FormerServiceRow{.Name = "missedAVersionSince",
-                         .IsJointRestart = true,
-                         .Uptime = std::chrono::seconds(20),
-                         .IsRouteSkipped = true,
-                         .IsSearched = true}),
+    testing::Values(FormerServiceRow{.Name = "versionSeen",
+                                     .IsFormerKnown = true,
+                                     .KnownFor = std::chrono::hours(1),
+                                     .IsSearched = true},
+                    FormerServiceRow{.Name = "startedAfterTheChange",
+                                     .IsSearched = true},
+                    FormerServiceRow{.Name = "startedALifetimeAgo",
+                                     .KnownFor = FlowLifetime},
+                    FormerServiceRow{.Name = "startedShorterAgo",
+                                     .KnownFor = FlowLifetime - milliseconds(1),
+                                     .IsSearched = true},
+                    // After a loss of power, other balancers that came back
+                    // earlier may have opened flows by a version that this one
+                    // has not seen (review case 6).
+                    FormerServiceRow{.Name = "allVmsLostPower",
+                                     .IsJointRestart = true,
+                                     .IsSearched = true},
+                    FormerServiceRow{.Name = "allVmsLostPowerBefore",
+                                     .IsJointRestart = true,
+                                     .Uptime = std::chrono::seconds(20),
+                                     .IsSearched = true},
+                    FormerServiceRow{.Name = "allVmsLostPowerALifetimeAgo",
+                                     .KnownFor = FlowLifetime,
+                                     .IsJointRestart = true},
+                    FormerServiceRow{.Name = "missedAVersionSince",
+                                     .IsJointRestart = true,
+                                     .Uptime = std::chrono::seconds(20),
+                                     .IsRouteSkipped = true,
+                                     .IsSearched = true}),
     [](const auto &Info) { return Info.param.Name; });
 
 struct LoadedLinkRow {
