Drop answers to openings that were meant for the former upstream

A caller got an answer of another service although the agent reads its settings before it delivers an opening to an upstream that was silent.

Cause: the address changed hands after the read and before the opening arrived, within 2 ms on a loaded machine.

Change: an answer to an opening that the agent has not delivered to the present upstream is dropped and logged as answer_unexpected. The agent reads the settings before it handles the first packet after a silence, and a change of the service clears its flows, so that the answer of the new upstream finds none. The caller, without an answer, sends no request.

Test: the row otherServiceMeanwhile of UpstreamReplacementTest failed without the change.

--- a/include/mulberryhoist/steer-actions.h
+++ b/include/mulberryhoist/steer-actions.h
@@ -63,10 +63,12 @@
   UpstreamsAsked, ///< No agent knows the flow; the upstreams are asked.
   UpstreamSpared, ///< The upstream returned a packet of the flow before.
   UpstreamUnanswered, ///< The upstream was asked for the flow and sent nothing.
+  AnswerUnexpected, ///< The upstream answers an opening that the agent has not
+                    ///< delivered to it.
 };
 
 /// The number of enumerators of `Decision`.
-inline constexpr std::size_t DecisionCount = 43;
+inline constexpr std::size_t DecisionCount = 44;
 
 /// Returns the name of a decision as it appears in logs and metrics.
 std::string_view decisionName(Decision Kind);
--- a/src/steer-actions.cc
+++ b/src/steer-actions.cc
@@ -20,7 +20,7 @@
     "intake_closed",         "intake_opened",       "opening_turned_away",
     "opening_displaced",     "link_full",           "link_clear",
     "flow_unknown",          "upstreams_asked",     "upstream_spared",
-    "upstream_unanswered"};
+    "upstream_unanswered",   "answer_unexpected"};
 
 } // namespace
 
--- a/src/steering-agent.cc
+++ b/src/steering-agent.cc
@@ -609,9 +609,21 @@
   }
   this->LastFlowPacket = Now;
   const FlowKey Key = Packet.View.upstreamFlow();
+  auto Found = this->Flows.find(Key);
+  const bool IsKnown = Found != this->Flows.end() ||
+                       this->Flows.size() >= this->Settings.MaxFlows;
+  if (Packet.View.Flags.Syn && !IsKnown) {
+    // The opening was meant for the former upstream at this address. Without an
+    // answer, its caller sends no request.
+    RecordDecision Record;
+    Record.Kind = Decision::AnswerUnexpected;
+    Record.Flow = Key;
+    Record.Load = this->Load;
+    Out.emplace_back(Record);
+    return;
+  }
   this->ForeignFlows.erase(Key);
   Out.emplace_back(ForwardToCaller{Key.Caller, Packet.Bytes});
-  auto Found = this->Flows.find(Key);
   if (Found == this->Flows.end()) {
     if (this->Flows.size() >= this->Settings.MaxFlows) {
       return;
--- a/test/steering-agent-data-test.cc
+++ b/test/steering-agent-data-test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <climits>
 #include <thread>
 
 #include "packet-codec.h"
@@ -38,12 +39,14 @@
 struct ReplacementRow {
   std::string Name;
   Duration AddressReuse = std::chrono::seconds(2);
-  /// Whether the address goes to another service, as the settings say.
-  bool IsReplaced = false;
+  /// At which read of the settings the address has gone to another service.
+  std::optional<int> ReplacedAt{};
   /// Whether the upstream sends a packet before the opening.
   bool HasSpoken = false;
   bool IsDelivered = false;
   int Refreshes = 0;
+  /// Whether the caller gets the upstream's answer to the opening.
+  bool IsAnswered = false;
 };
 
 class UpstreamReplacementTest : public testing::TestWithParam<ReplacementRow> {
@@ -61,8 +64,7 @@
     Settings.CallerPort = this->Balancer.address().Port;
     Settings.AddressReuse = GetParam().AddressReuse;
     Settings.RefreshUpstream = [this] {
-      ++this->Refreshes;
-      if (GetParam().IsReplaced) {
+      if (++this->Refreshes >= GetParam().ReplacedAt.value_or(INT_MAX)) {
         this->Data->setUpstream(TemplateService, this->Upstream.address());
       }
     };
@@ -75,12 +77,27 @@
     });
   }
 
-  /// Sends a packet of the upstream and waits until its caller has it.
-  void speak() {
-    const auto Bytes = packetBytes(SynFlag | AckFlag, false);
-    ASSERT_TRUE(this->Upstream.send(this->Data->fromUpstreamAddress(), Bytes));
-    ASSERT_TRUE(
-        pollUntil([&] { return this->Balancer.receive().has_value(); }));
+  /// Sends a packet of the upstream with these flags to the caller.
+  void speak(std::uint8_t Flags) {
+    ASSERT_TRUE(this->Upstream.send(this->Data->fromUpstreamAddress(),
+                                    packetBytes(Flags, false)));
+  }
+
+  /// Returns the flags of the next packet that the caller gets. Messages to the
+  /// balancer arrive at the same socket and are skipped.
+  std::uint8_t awaitCallerPacket() {
+    std::uint8_t Flags = 0;
+    EXPECT_TRUE(pollUntil([&] {
+      while (const auto Received = this->Balancer.receive()) {
+        const auto Packet = PlatformFormat::parse(Received->Bytes);
+        if (Packet) {
+          Flags = Received->Bytes[8];
+          return true;
+        }
+      }
+      return false;
+    }));
+    return Flags;
   }
 
   /// Sends the agent an opening for the orders, which it may pass on.
@@ -110,7 +127,8 @@
 TEST_P(UpstreamReplacementTest, OpeningReachesOnlyTheUpstreamOfItsService) {
   this->start();
   if (GetParam().HasSpoken) {
-    this->speak();
+    this->speak(AckFlag);
+    EXPECT_EQ(this->awaitCallerPacket(), AckFlag);
   }
   this->open();
   std::optional<bool> IsDelivered;
@@ -124,19 +142,32 @@
   }));
   EXPECT_EQ(*IsDelivered, GetParam().IsDelivered);
   EXPECT_EQ(this->Refreshes, GetParam().Refreshes);
+  if (GetParam().IsDelivered) {
+    this->speak(SynFlag | AckFlag);
+    this->speak(AckFlag);
+    EXPECT_EQ(this->awaitCallerPacket(),
+              GetParam().IsAnswered ? SynFlag | AckFlag : AckFlag);
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(
     Rows, UpstreamReplacementTest,
     testing::Values(
-        ReplacementRow{
-            .Name = "sameService", .IsDelivered = true, .Refreshes = 1},
-        ReplacementRow{
-            .Name = "otherService", .IsReplaced = true, .Refreshes = 1},
+        ReplacementRow{.Name = "sameService",
+                       .IsDelivered = true,
+                       .Refreshes = 1,
+                       .IsAnswered = true},
+        ReplacementRow{.Name = "otherService", .ReplacedAt = 1, .Refreshes = 1},
+        // The address changes hands after the read, and before the opening
+        // arrives there.
+        ReplacementRow{.Name = "otherServiceMeanwhile",
+                       .ReplacedAt = 2,
+                       .IsDelivered = true,
+                       .Refreshes = 1},
         // The first packet after a silence may be of the other service, too.
         ReplacementRow{.Name = "otherServiceHasSpoken",
                        .AddressReuse = std::chrono::minutes(1),
-                       .IsReplaced = true,
+                       .ReplacedAt = 1,
                        .HasSpoken = true,
                        .Refreshes = 1},
         // An upstream that answers costs no further reads.
@@ -144,7 +175,8 @@
                        .AddressReuse = std::chrono::minutes(1),
                        .HasSpoken = true,
                        .IsDelivered = true,
-                       .Refreshes = 1}),
+                       .Refreshes = 1,
+                       .IsAnswered = true}),
     [](const auto &Info) { return Info.param.Name; });
 
 } // namespace
--- a/test/steering-search-test.cc
+++ b/test/steering-search-test.cc
@@ -122,7 +122,7 @@
     this->Now += milliseconds(1);
     SteerActionList Out;
     while (!this->Queue.empty() && this->Queue.begin()->first <= this->Now) {
-      const Arrival Next = std::move(this->Queue.begin()->second);
+      const Arrival Next = this->Queue.begin()->second;
       this->Queue.erase(this->Queue.begin());
       this->deliver(Next, Out);
       this->perform(Next.To, Out);
