Review case 12: FLOW after the store came back from a copy

Cause shown: after a silent return of the store the edges go on with a watch from a revision of the former era, never hear of a target that registered with a revision given out again, and StoreFeed::confirmOnce confirms their directory by a watch from that revision as well. When added edges use the target and its flows move, the old edges reset them.

Change: the case, and stand-ins that it needs: a store that falls silent and keeps the watches that it holds, flows of several requests, added edges. A store answers 410 when a watch asks for a revision that it doesn't have, and no longer looks at a watch that it holds.

--- a/review/rig-3.hpp
+++ b/review/rig-3.hpp
@@ -243,8 +243,12 @@
     }
     return Now.Revision;
   }
-  bool isUp() const { return Listener >= 0; }
+  bool isUp() const { return Listener >= 0 && !IsSilent; }
   std::uint64_t revision() const { return Now.Revision; }
+  std::uint64_t revisionOf(const std::string &Key) const {
+    const auto Found = Now.Items.find(Key);
+    return Found == Now.Items.end() ? 0 : Found->second.Revision;
+  }
   std::uint64_t era() const { return Era; }
   Copy copy() const { return Now; }
 
@@ -261,7 +265,15 @@
       Listener = -1;
     }
   }
-  void comeBack() { listenNow(); }
+  /// Answers nothing; connections stay, and requests wait.
+  void fallSilent() { IsSilent = true; }
+  /// Answers again, from a copy; revisions go back. A watch that was waiting
+  /// goes on waiting for a revision after its own.
+  void resumeFrom(const Copy &Old) {
+    Now = Old;
+    ++Era;
+    IsSilent = false;
+  }
   /// Comes back from a copy; revisions go back.
   void comeBackFrom(const Copy &Old) {
     Now = Old;
@@ -280,6 +292,9 @@
     }
   }
   void turn() {
+    if (IsSilent) {
+      return;
+    }
     if (Listener >= 0) {
       int Fd;
       while ((Fd = accept4(Listener, nullptr, nullptr,
@@ -376,6 +391,11 @@
       From.After = std::stoull(Query["after"]);
       From.Until = nowMs() + std::stod(Query["wait_ms"]);
       From.Prefix = Query["prefix"];
+      if (From.After > Now.Revision) {
+        // A revision that this store doesn't have.
+        answer(From, 410, "{}");
+        From.Watches = false;
+      }
     } else if (Path == "/kv-key" && Now.Items.contains(Query["key"])) {
       std::string Body = itemJson(Now.Items[Query["key"]]);
       Body.pop_back();
@@ -387,12 +407,6 @@
   }
 
   void serveWatch(Connection &Each) const {
-    if (Each.After > Now.Revision) {
-      // A revision that this store doesn't have.
-      answer(Each, 410, "{}");
-      Each.Watches = false;
-      return;
-    }
     std::string List;
     for (const Item &Event : Now.History) {
       if (Event.Revision > Each.After && Event.Key.starts_with(Each.Prefix)) {
@@ -442,6 +456,7 @@
 
   Address Local;
   int Listener = -1;
+  bool IsSilent = false;
   std::uint64_t Era = 1;
   Copy Now;
   std::vector<std::unique_ptr<Connection>> Connections;
@@ -530,7 +545,7 @@
 private:
   struct Held {
     std::uint32_t Isn = 0, Next = 0, PeerNext = 0;
-    bool IsOpen = false, HasRequest = false, IsDone = false;
+    bool IsOpen = false, HasRequest = false, IsDone = false, Closes = false;
     double AnswerAt = 0;
     std::string Id;
     std::vector<std::uint8_t> Sent; // the answer, for retransmission
@@ -548,7 +563,7 @@
     Out.Data = std::move(Data);
     Out.Sum = Out.expectedSum();
     sendTo(Fd, Set.Outbound, Out.bytes());
-    if (Flags & Fin) {
+    if (!Out.Data.empty()) {
       From.Sent = Out.bytes();
     }
   }
@@ -588,6 +603,7 @@
     if (!In.Data.empty() && In.Seq == Each.PeerNext && !Each.HasRequest) {
       Each.PeerNext += static_cast<std::uint32_t>(In.Data.size());
       Each.HasRequest = true;
+      Each.Closes = In.Data.find("Connection: close") != std::string::npos;
       const std::string Name = "X-Mulberryhoist-Request-Id: ";
       const auto At = In.Data.find(Name) + Name.size();
       Each.Id = In.Data.substr(At, In.Data.find("\r\n", At) - At);
@@ -636,10 +652,16 @@
             "HTTP/1.1 200 OK\r\nX-Mulberryhoist-Response-Signature: s-" +
             Each.Id + "\r\nContent-Length: " + std::to_string(Body.size()) +
             "\r\n\r\n" + Body;
-        send(Key, Each, Ack | Fin, Text, Each.Next);
-        Each.Next += static_cast<std::uint32_t>(Text.size()) + 1;
+        const std::uint8_t End = Each.Closes ? Fin : 0;
+        send(Key, Each, Ack | End, Text, Each.Next);
+        Each.Next += static_cast<std::uint32_t>(Text.size()) + (End ? 1 : 0);
+        Each.HasRequest = false;
         Each.IsDone = true;
+        Each.IsAcked = false;
         Each.SentAt = Now;
+        Each.Wait = 200;
+        Each.Copies = 0;
+        std::erase(Unacked, Key);
         Unacked.push_back(Key);
       }
       return true;
@@ -682,12 +704,18 @@
   bool IsTaken = false;
   Arrival Taken; // the first target that took the opening
   std::vector<std::pair<double, std::string>> Runs;
-  std::string Body;
+  std::string Path, Body;
+  int Left = 0, Number = 0, Answers = 0, InvalidResets = 0;
+  bool IsPausing = false;
   std::uint32_t Isn = 0, Next = 0, PeerNext = 0;
   int SynCopies = 0, DataCopies = 0;
   double DataAt = 0, DataWait = 200;
   std::vector<std::uint8_t> Syn0, Data;
   bool IsFinished = false;
+
+  std::string requestId() const {
+    return Number == 1 ? Id : Id + "-" + std::to_string(Number);
+  }
 };
 
 /// Opens a flow for each request, and chooses the edge by a hash like the
@@ -695,6 +723,9 @@
 class Client {
 public:
   double DeadlineMs = 1200;
+  /// How many requests a flow carries, and the pause between them.
+  int RequestsPerFlow = 1;
+  double PauseMs = 0;
   std::vector<Address> Edges;
 
   explicit Client(Address Local) : Local(Local), Fd(udpSocket(Local)) {}
@@ -713,14 +744,22 @@
     Packet Out = packet(Each, Syn, "", Each.Isn, 0);
     Each.Syn0 = Out.bytes();
     deliver(Each, Each.Syn0);
-    Each.Body =
-        "POST " + Path +
-        " HTTP/1.1\r\nHost: h\r\nX-Mulberryhoist-Request-Id: " + Each.Id +
-        "\r\nContent-Length: 0\r\n\r\n";
+    Each.Path = Path;
+    Each.Left = RequestsPerFlow;
+    Each.Body = nextBody(Each);
     ByKey[Each.Key] = &Each;
     All.push_back(std::move(New));
     return Each;
   }
+  /// The text of the flow's next request; the last one closes the flow.
+  static std::string nextBody(Attempt &Each) {
+    --Each.Left;
+    ++Each.Number;
+    return "POST " + Each.Path +
+           " HTTP/1.1\r\nHost: h\r\nX-Mulberryhoist-Request-Id: " +
+           Each.requestId() + "\r\nContent-Length: 0\r\n" +
+           (Each.Left == 0 ? "Connection: close\r\n" : "") + "\r\n";
+  }
   Attempt *find(const Flow &Key) {
     const auto Found = ByKey.find(Key);
     return Found == ByKey.end() ? nullptr : Found->second;
@@ -778,6 +817,13 @@
     }
     Attempt &Each = *Found;
     if (In.has(Rst)) {
+      // On an open flow, a reset of the system's own has a number within 76,800
+      // of the client's last acknowledgment; any other is no reset.
+      const auto Distance = static_cast<std::int32_t>(In.Seq - Each.PeerNext);
+      if (Each.OpenedAt >= 0 && In.Sum == 0 && std::abs(Distance) > 76800) {
+        ++Each.InvalidResets;
+        return;
+      }
       end(Each, Each.OpenedAt < 0 ? "refused"
                 : In.Sum == 0     ? "reset"
                                   : "reset by target");
@@ -798,14 +844,32 @@
       Each.PeerNext +=
           static_cast<std::uint32_t>(In.Data.size()) + (In.has(Fin) ? 1 : 0);
       Each.Next += static_cast<std::uint32_t>(Each.Body.size());
-      deliver(Each,
-              packet(Each, Ack | Fin, "", Each.Next, Each.PeerNext).bytes());
+      ++Each.Answers;
       const bool IsRight =
-          In.Data.find("s-" + Each.Id + "\r\n") != std::string::npos;
-      end(Each, IsRight ? "answered" : "foreign answer");
+          In.Data.find("s-" + Each.requestId() + "\r\n") != std::string::npos;
+      const std::uint8_t End = Each.Left == 0 ? Fin : 0;
+      deliver(Each,
+              packet(Each, Ack | End, "", Each.Next, Each.PeerNext).bytes());
+      if (!IsRight || Each.Left == 0) {
+        end(Each, IsRight ? "answered" : "foreign answer");
+        return;
+      }
+      Each.IsPausing = true;
+      Each.SentAt = nowMs() + PauseMs;
     }
   }
   void tick(Attempt &Each, double Now) {
+    if (Each.IsPausing) {
+      if (Now >= Each.SentAt) {
+        Each.IsPausing = false;
+        Each.Body = nextBody(Each);
+        Each.Data =
+            packet(Each, Ack, Each.Body, Each.Next, Each.PeerNext).bytes();
+        Each.DataAt = Now, Each.DataWait = 200;
+        deliver(Each, Each.Data);
+      }
+      return;
+    }
     if (Now - Each.SentAt >= DeadlineMs) {
       end(Each, Each.OpenedAt < 0 ? "no flow" : "no answer");
       return;
@@ -1019,6 +1083,9 @@
         std::make_unique<Process>(roleCommand("balancer"), File, log(Name)));
   }
   void restartEdge(int I, const std::string &Zone) {
+    if (Edges.size() < static_cast<std::size_t>(I)) {
+      Edges.resize(static_cast<std::size_t>(I));
+    }
     Edges[static_cast<std::size_t>(I - 1)].reset();
     const std::string Name = "edge-" + std::to_string(I);
     Edges[static_cast<std::size_t>(I - 1)] = std::make_unique<Process>(
@@ -1128,14 +1195,14 @@
       return;
     }
     NextProbe = nowMs() + 500;
-    Misses.resize(static_cast<std::size_t>(EdgeCount));
+    Misses.resize(Edges.size());
     std::vector<Address> In, Every;
-    for (int I = 1; I <= EdgeCount; ++I) {
-      int &Count = Misses[static_cast<std::size_t>(I - 1)];
-      Count = isReady(I) ? 0 : Count + 1;
-      Every.push_back(Where.edge(I, 0));
-      if (Count < 2) {
-        In.push_back(Where.edge(I, 0));
+    for (std::size_t I = 0; I < Edges.size(); ++I) {
+      const int Number = static_cast<int>(I) + 1;
+      Misses[I] = isReady(Number) ? 0 : Misses[I] + 1;
+      Every.push_back(Where.edge(Number, 0));
+      if (Misses[I] < 2) {
+        In.push_back(Every.back());
       }
     }
     const auto Next = 2 * In.size() < Every.size() ? Every : In;
