--- a/include/mulberryhoist/http-answer.h
+++ b/include/mulberryhoist/http-answer.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYHOIST_HTTP_ANSWER_H
 #define MULBERRYHOIST_HTTP_ANSWER_H
 
+#include <optional>
 #include <string>
 
 namespace mulberryhoist {
@@ -19,8 +20,9 @@
 struct HttpAnswer {
   unsigned Status = 0;
   std::string Body;
-  /// The value of the header that the query asked for.
-  std::string WantedHeader;
+  /// The value of the header that the query asked for; empty if the answer
+  /// does not have it.
+  std::optional<std::string> WantedHeader;
 };
 
 } // namespace mulberryhoist
--- a/include/mulberryhoist/types.h
+++ b/include/mulberryhoist/types.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -101,6 +102,24 @@
 /// clang-tidy 14 reports errors inside the defaulted comparison at each use.
 bool isOlder(const DocumentVersion &A, const DocumentVersion &B);
 
+/// A revision of a source that may come back from an older copy of itself: its
+/// revisions then go back and are given out again, and its era rises.
+struct SourceRevision {
+  SourceRevision(std::uint64_t Number = 0,
+                 std::optional<std::uint64_t> Era = std::nullopt)
+      : Era(Era), Number(Number) {}
+
+  /// Empty if the source has not told it; this precedes all eras.
+  std::optional<std::uint64_t> Era;
+  std::uint64_t Number;
+
+  friend bool operator==(const SourceRevision &,
+                         const SourceRevision &) = default;
+};
+
+/// Returns whether revision A precedes B: by the era first, then by the number.
+bool isOlder(const SourceRevision &A, const SourceRevision &B);
+
 /// The version of a table.
 using TableVersion = DocumentVersion;
 
--- a/src/http-session.cc
+++ b/src/http-session.cc
@@ -192,9 +192,11 @@
   HttpAnswer Reply;
   Reply.Status = Answer.get().result_int();
   if (!Query.WantedHeader.empty()) {
-    const auto Value = Answer.get()[beast::string_view(
-        Query.WantedHeader.data(), Query.WantedHeader.size())];
-    Reply.WantedHeader.assign(Value.data(), Value.size());
+    const auto Found = Answer.get().find(beast::string_view(
+        Query.WantedHeader.data(), Query.WantedHeader.size()));
+    if (Found != Answer.get().end()) {
+      Reply.WantedHeader.emplace(Found->value().data(), Found->value().size());
+    }
   }
   Reply.Body = std::move(Answer.get().body());
   return Reply;
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -21,7 +21,7 @@
 }
 
 Result<PlatformResponse> interpretResponse(HttpAnswer Response) {
-  const auto Revision = parseRevision(Response.WantedHeader);
+  const auto Revision = parseRevision(Response.WantedHeader.value_or(""));
   switch (Response.Status) {
   case StatusOk:
     if (!Revision) {
--- a/src/types.cc
+++ b/src/types.cc
@@ -87,6 +87,10 @@
   return A.Epoch != B.Epoch ? A.Epoch < B.Epoch : A.Revision < B.Revision;
 }
 
+bool isOlder(const SourceRevision &A, const SourceRevision &B) {
+  return A.Era != B.Era ? A.Era < B.Era : A.Number < B.Number;
+}
+
 UpstreamId upstreamId(std::string_view Name) { return {hashName(Name)}; }
 
 ServiceId serviceId(std::string_view Name) { return {hashName(Name)}; }
--- a/test/soak/store.cc
+++ b/test/soak/store.cc
@@ -44,20 +44,20 @@
 
 void Store::put(const std::string &Key, std::string Value) {
   const std::scoped_lock Guard(this->Lock);
-  const auto Known = this->Items.find(Key);
-  const std::uint64_t Now = ++this->Revision;
-  const Change Next = {Key, std::move(Value), Now,
-                       Known == this->Items.end() ? Now : Known->second.Created,
-                       false};
-  this->Items[Key] = Next;
-  this->History.push_back(Next);
+  const auto Known = this->Held.Items.find(Key);
+  const std::uint64_t Now = ++this->Held.Revision;
+  const Change Next = {
+      Key, std::move(Value), Now,
+      Known == this->Held.Items.end() ? Now : Known->second.Created, false};
+  this->Held.Items[Key] = Next;
+  this->Held.History.push_back(Next);
   this->Changed.notify_all();
 }
 
 void Store::remove(const std::string &Key) {
   const std::scoped_lock Guard(this->Lock);
-  if (this->Items.erase(Key) != 0) {
-    this->History.push_back({Key, {}, ++this->Revision, 0, true});
+  if (this->Held.Items.erase(Key) != 0) {
+    this->Held.History.push_back({Key, {}, ++this->Held.Revision, 0, true});
     this->Changed.notify_all();
   }
 }
@@ -76,8 +76,20 @@
 
 void Store::dropHistory() {
   const std::scoped_lock Guard(this->Lock);
-  this->History.clear();
-  this->Forgotten = this->Revision;
+  this->Held.History.clear();
+  this->Held.Forgotten = this->Held.Revision;
+  this->Changed.notify_all();
+}
+
+Store::Copy Store::copy() {
+  const std::scoped_lock Guard(this->Lock);
+  return this->Held;
+}
+
+void Store::returnFrom(const Copy &Old) {
+  const std::scoped_lock Guard(this->Lock);
+  this->Held = Old;
+  ++this->Era;
   this->Changed.notify_all();
 }
 
@@ -116,6 +128,11 @@
     http::response<http::string_body> Response(
         http::int_to_status(Given.Status), Request.version());
     Response.keep_alive(true);
+    if (this->Mode == StoreMode::OddEra) {
+      Response.set("Store-Era", "first");
+    } else if (this->Mode != StoreMode::NoEra) {
+      Response.set("Store-Era", std::to_string(this->Era));
+    }
     Response.body() = std::move(Given.Body);
     Response.prepare_payload();
     http::write(Socket, Response, Code);
@@ -163,7 +180,7 @@
   const std::scoped_lock Guard(this->Lock);
   Json List = Json::array();
   bool Truncated = false;
-  for (const auto &[Key, Each] : this->Items) {
+  for (const auto &[Key, Each] : this->Held.Items) {
     if (Key.starts_with(Prefix) && Key > After) {
       Truncated = List.size() == this->PageSize;
       if (Truncated) {
@@ -178,23 +195,27 @@
   }
   return {200, Json{{"items", std::move(List)},
                     {"truncated", Truncated},
-                    {"as_of", this->Revision}}
+                    {"as_of", this->Held.Revision}}
                    .dump()};
 }
 
 Store::Answer Store::watch(const std::string &Prefix, std::uint64_t After,
                            std::chrono::milliseconds Wait) {
   std::unique_lock Guard(this->Lock);
+  if (After > this->Held.Revision) {
+    return {410, ""};
+  }
   const StoreMode Before = this->Mode;
   const auto IsOver = [&] {
-    return this->Stopping || this->Mode != Before || this->Revision > After;
+    return this->Stopping || this->Mode != Before ||
+           this->Held.Revision > After;
   };
   this->Changed.wait_for(Guard, Wait, IsOver);
-  if (After < this->Forgotten) {
+  if (After < this->Held.Forgotten) {
     return {410, ""};
   }
   Json Events = Json::array();
-  for (const Change &Each : this->History) {
+  for (const Change &Each : this->Held.History) {
     if (Each.Revision <= After || !Each.Key.starts_with(Prefix)) {
       continue;
     }
@@ -207,9 +228,9 @@
     }
     Events.push_back(std::move(Event));
   }
-  return {
-      200,
-      Json{{"events", std::move(Events)}, {"as_of", this->Revision}}.dump()};
+  return {200,
+          Json{{"events", std::move(Events)}, {"as_of", this->Held.Revision}}
+              .dump()};
 }
 
 } // namespace mulberryhoist::soak
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -30,11 +30,29 @@
   Slow,      ///< Answers take 200 ms.
   Repeating, ///< Each answer is sent twice.
   Unpadded,  ///< Values lack the padding of their Base64 text.
+  NoEra,     ///< Answers lack the header `Store-Era`.
+  OddEra,    ///< The header `Store-Era` is not a number.
 };
 
 /// Serves items and watches over HTTP on a loopback address.
 class Store {
+  struct Change {
+    std::string Key;
+    std::string Value;
+    std::uint64_t Revision = 0;
+    std::uint64_t Created = 0;
+    bool Removed = false;
+  };
+
 public:
+  /// What the store holds at a moment.
+  struct Copy {
+    std::map<std::string, Change> Items;
+    std::vector<Change> History;
+    std::uint64_t Revision = 1;
+    std::uint64_t Forgotten = 0;
+  };
+
   explicit Store(Endpoint Listen);
   ~Store();
 
@@ -46,15 +64,14 @@
   /// Forgets the changes so far, so that older watches get status 410.
   void dropHistory();
 
-private:
-  struct Change {
-    std::string Key;
-    std::string Value;
-    std::uint64_t Revision = 0;
-    std::uint64_t Created = 0;
-    bool Removed = false;
-  };
+  Copy copy();
+  /// Comes back from a copy: revisions go back, and the era rises by one.
+  /// Watches that wait go on waiting.
+  void returnFrom(const Copy &Old);
+  /// Sets the era without a change of what the store holds.
+  void setEra(std::uint64_t Next) { this->Era = Next; }
 
+private:
   struct Answer {
     unsigned Status = 0;
     std::string Body;
@@ -72,10 +89,8 @@
   boost::asio::ip::tcp::acceptor Acceptor;
   std::mutex Lock;
   std::condition_variable Changed;
-  std::map<std::string, Change> Items;
-  std::vector<Change> History;
-  std::uint64_t Revision = 1;
-  std::uint64_t Forgotten = 0;
+  Copy Held;
+  std::atomic<std::uint64_t> Era{1};
   std::atomic<StoreMode> Mode{StoreMode::Up};
   std::atomic<std::size_t> PageSize{500};
   std::atomic<bool> Stopping{false};
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -139,7 +139,122 @@
         FaultRow{StoreMode::Busy, ErrorKind::ConfigurationUnavailable},
         FaultRow{StoreMode::Refusing, ErrorKind::CallRateExceeded},
         FaultRow{StoreMode::Resetting, ErrorKind::ConfigurationUnavailable},
-        FaultRow{StoreMode::Silent, ErrorKind::ConfigurationUnavailable}));
+        FaultRow{StoreMode::Silent, ErrorKind::ConfigurationUnavailable},
+        FaultRow{StoreMode::OddEra, ErrorKind::MalformedMessage}));
+
+/// How a store comes back from a copy that holds one item, and what the client
+/// gets from a call after that.
+struct ReturnRow {
+  std::string Name;
+  /// Writes what the copy does not have, and returns from it.
+  void (*Return)(Store &, const Store::Copy &);
+  bool IsWatch = false;
+  /// Empty if the call succeeds, with the items of the copy alone.
+  std::optional<ErrorKind> Expected{};
+};
+
+class StoreReturnTest : public StoreClientTest,
+                        public testing::WithParamInterface<ReturnRow> {};
+
+// Guards against a client that drops all answers, or misses changes, after the
+// store's revisions went back (review cases 11 and 13).
+TEST_P(StoreReturnTest, RevisionsOfTwoErasAreNotCompared) {
+  this->Server.put("a", "1");
+  const Store::Copy Copy = this->Server.copy();
+  this->Server.put("a", "2");
+  this->Server.put("b", "1");
+  const auto Before = this->list();
+  ASSERT_TRUE(Before.has_value()) << Before.error().Detail;
+  GetParam().Return(this->Server, Copy);
+  const auto Read = GetParam().IsWatch
+                        ? this->watch(Before->Revision, milliseconds(300))
+                        : this->list();
+  if (GetParam().Expected) {
+    ASSERT_FALSE(Read.has_value());
+    EXPECT_EQ(Read.error().Kind, *GetParam().Expected);
+  }
+  // A listing is read at once.
+  const auto Again = GetParam().Expected ? this->list() : Read;
+  ASSERT_TRUE(Again.has_value()) << Again.error().Detail;
+  EXPECT_EQ(Again->Items[0].Value, "1");
+  EXPECT_EQ(Again->Era, Before->Era.value_or(0) + 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, StoreReturnTest,
+    testing::Values(ReturnRow{.Name = "listing",
+                              .Return =
+                                  [](Store &Server, const Store::Copy &Old) {
+                                    Server.returnFrom(Old);
+                                  }},
+                    ReturnRow{.Name = "watchOfARevisionThatItLacks",
+                              .Return =
+                                  [](Store &Server, const Store::Copy &Old) {
+                                    Server.returnFrom(Old);
+                                  },
+                              .IsWatch = true,
+                              .Expected = ErrorKind::HistoryLost},
+                    ReturnRow{.Name = "watchOfARevisionGivenOutAgain",
+                              .Return =
+                                  [](Store &Server, const Store::Copy &Old) {
+                                    Server.returnFrom(Old);
+                                    for (int I = 0; I < 5; ++I) {
+                                      Server.put("c", std::to_string(I));
+                                    }
+                                  },
+                              .IsWatch = true,
+                              .Expected = ErrorKind::HistoryLost}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a watch that waits over the return and goes on from a revision
+// of the former history (review case 12).
+TEST_F(StoreClientTest, WatchThatWaitsOverTheReturnLosesItsHistory) {
+  this->Server.put("a", "1");
+  const Store::Copy Copy = this->Server.copy();
+  this->Server.put("a", "2");
+  const auto Before = this->list();
+  ASSERT_TRUE(Before.has_value());
+  const std::jthread Returner([this, &Copy] {
+    std::this_thread::sleep_for(milliseconds(50));
+    this->Server.returnFrom(Copy);
+  });
+  const auto Read = this->watch(Before->Revision, milliseconds(200));
+  ASSERT_FALSE(Read.has_value());
+  EXPECT_EQ(Read.error().Kind, ErrorKind::HistoryLost);
+}
+
+// Guards against one listing of two histories.
+TEST_F(StoreClientTest, ListingDoesNotSpanAReturn) {
+  for (const std::string_view Key : {"a", "b", "c", "d"}) {
+    this->Server.put(std::string(Key), std::string(1'000, 'x'));
+  }
+  const Store::Copy Copy = this->Server.copy();
+  this->Server.setPageSize(1);
+  this->Server.setMode(StoreMode::Slow);
+  const std::jthread Returner([this, &Copy] {
+    std::this_thread::sleep_for(milliseconds(300));
+    this->Server.returnFrom(Copy);
+  });
+  const auto Read = this->list();
+  ASSERT_FALSE(Read.has_value());
+  EXPECT_EQ(Read.error().Kind, ErrorKind::HistoryLost);
+}
+
+// Guards against a late answer of the former store that is taken for one of the
+// present store, and against a store without the header that is not read.
+TEST_F(StoreClientTest, OlderEraIsDroppedAndNoEraSaysNothing) {
+  this->Server.put("a", "1");
+  this->Server.setEra(3);
+  ASSERT_TRUE(this->list().has_value());
+  this->Server.setEra(2);
+  const auto Late = this->list();
+  ASSERT_FALSE(Late.has_value());
+  EXPECT_EQ(Late.error().Kind, ErrorKind::MalformedMessage);
+  this->Server.setMode(StoreMode::NoEra);
+  const auto Without = this->list();
+  ASSERT_TRUE(Without.has_value()) << Without.error().Detail;
+  EXPECT_EQ(Without->Era, 3U);
+}
 
 } // namespace
 } // namespace mulberryhoist::platform
