Keep what is known until what the store lost is written again

Cause: the first listing after the return was taken as the newest state, and a read of another era confirmed the directory.

Change: for `ReregistrationGrace` after the first listing of a higher era, what is known of an upstream or a zone goes before the listing, and what the watch reports since goes before both; then the store is read again and it alone counts. A reset needs a read, a revision and a directory of one era, after that time. A balancer that starts asks the others before its first listing, and a balancer without the store learns the era from them; it takes the newest routes of all. Two metrics and the log say when that happens.

--- a/include/mulberryhoist/directory-exchange.h
+++ b/include/mulberryhoist/directory-exchange.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYHOIST_DIRECTORY_EXCHANGE_H
 #define MULBERRYHOIST_DIRECTORY_EXCHANGE_H
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
 /// The path at which a balancer serves its directory.
 inline constexpr std::string_view DirectoryPath = "/directory";
 
+/// What a balancer without a complete directory serves there.
+inline constexpr std::string_view NoDirectory = "{}";
+
 /// The time limit for the responses of other balancers. They respond within
 /// milliseconds, and one that is down must not delay the others for long.
 inline constexpr Duration PeerTimeout = std::chrono::milliseconds(300);
@@ -38,6 +42,16 @@
 /// source is available, or else its era, its routes or its upstreams are newer.
 bool isBetter(const PeerDirectory &A, const PeerDirectory &B);
 
+/// Fetches the directories of other balancers that have a complete one.
+std::vector<PeerDirectory> fetchDirectories(std::span<const Endpoint> Peers);
+
+/// Returns the best directory, with the newest routes of all whose source is as
+/// available; empty if there is none.
+std::optional<PeerDirectory> bestDirectory(std::vector<PeerDirectory> All);
+
+/// Applies what another balancer knows to a builder without own listing.
+void applyPeerDirectory(PeerDirectory Peer, DirectoryBuilder &To);
+
 /// Fetches the directories of other balancers and applies the best one: one
 /// whose source is available, or any if there is no complete directory yet.
 /// The evacuations of all of them are merged. Returns whether a directory was
--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -174,6 +174,10 @@
   /// name, at addresses that no other entry has. An earlier version may have
   /// named them, so that they may hold flows.
   bool HasUnnamedServices = false;
+  /// The era of the source; empty if it has not told one.
+  std::optional<std::uint64_t> Era{};
+  /// How often the source has come back from an older copy.
+  std::uint32_t Returns = 0;
 };
 
 /// An immutable snapshot of routes and upstreams.
@@ -268,9 +272,37 @@
 /// ended ones are forgotten.
 inline constexpr std::size_t MaxEvacuations = 1'024;
 
+/// The most that may have passed since the last answer of the former source for
+/// an evacuation that the copy has, and that is known to have ended, to stay
+/// ended. An evacuation that was ordered again since must be in force 5 s after
+/// its acknowledgement, and is told apart `ReregistrationGrace` later.
+inline constexpr Duration RecentAnswer = std::chrono::seconds(2);
+
+/// What a balancer knows of the source of its directory.
+struct SourceStatus {
+  bool IsAvailable = false;
+  /// The revision up to which all changes are applied.
+  SourceRevision Revision;
+  /// `DirectoryBuilder::keptUntil`.
+  std::optional<Instant> KeptUntil{};
+};
+
 /// Builds directories from the updates of the source. Not thread-safe.
 class DirectoryBuilder {
 public:
+  /// Handles the revision of a listing before it is applied. If the era has
+  /// risen, the source has come back from an older copy, and for
+  /// `ReregistrationGrace` what is known goes before the copy; `HeardAt` is
+  /// when the source had answered last.
+  void onSource(const SourceRevision &AsOf, Instant HeardAt, Instant Now);
+
+  /// Takes over the era that another balancer knows, if it is higher.
+  void onPeerSource(const SourceStatus &Peer, Instant Now);
+
+  /// Returns until when listings do not replace what was known before the
+  /// source came back from an older copy; stays set until a listing after that.
+  std::optional<Instant> keptUntil() const { return this->KeptUntil; }
+
   /// Applies a version of the routes, or reports `OlderTable` and keeps the
   /// current routes if the version is older than theirs. `Skips` is true unless
   /// the version is known to follow the current one.
@@ -284,6 +316,8 @@
   void onRemoved(std::string_view Name, Instant Now);
 
   /// Replaces all upstreams with a complete list from the source.
+  /// Before `keptUntil`, a known upstream stays as it is if its entry may be
+  /// older, and one that is missing has until then to register again.
   void onListing(std::vector<ListedUpstream> All, Instant Now);
 
   /// Applies the beginning or end of an evacuation, unless a newer change of
@@ -291,7 +325,8 @@
   void onEvacuation(Evacuation Changed, Instant Now);
 
   /// Replaces the evacuations with a complete list from the source, as of a
-  /// revision; changes with a greater revision stay.
+  /// revision; changes with a greater revision stay. Before `keptUntil`, those
+  /// of a former era stay too.
   void onEvacuationListing(std::span<const Evacuation> All,
                            const SourceRevision &AsOf, Instant Now);
 
@@ -344,9 +379,24 @@
   struct KnownEvacuation {
     Evacuation Latest;
     Instant ChangedAt;
+    /// The revision that began it.
+    SourceRevision BeganAt;
   };
 
   bool isEvacuated(std::string_view Zone) const;
+  /// Returns whether a listing may be that of an older copy, so that it does
+  /// not replace what is known.
+  bool isCopy(Instant Now) const {
+    return this->KeptUntil && Now < *this->KeptUntil;
+  }
+  /// Sets the era of all that is known without one.
+  void setUnknownEras(std::uint64_t Next);
+  void beginReturn(const SourceRevision &AsOf, Instant Until);
+  /// Applies an entry of a copy, unless the known one counts. Returns false if
+  /// it is of a former process of that name, so that the known one is missing.
+  bool onCopiedUpstream(ListedUpstream Changed);
+  /// Returns whether an evacuation of a copy is known to have ended since.
+  bool hasEnded(const Evacuation &Copied) const;
   /// Returns whether an entry names an upstream: it is readable, and its
   /// service is one of the configuration, or a former target of a route, whose
   /// flows may live there. Other writers leave other entries. Any service
@@ -377,6 +427,9 @@
   bool SourceLost = true;
   /// Removals before this time may be caused by an outage of the source.
   std::optional<Instant> GraceUntil;
+  std::optional<Instant> KeptUntil;
+  /// Whether an evacuation that the copy has may be known to have ended.
+  bool KeepsEnds = false;
   std::shared_ptr<const Directory> Cached;
 };
 
@@ -387,13 +440,6 @@
   DirectoryEdition Edition;
 };
 
-/// What a balancer knows of the source of its directory.
-struct SourceStatus {
-  bool IsAvailable = false;
-  /// The revision up to which all changes are applied.
-  SourceRevision Revision;
-};
-
 /// A directory that several threads update and read.
 class SharedDirectory {
 public:
@@ -416,7 +462,8 @@
   /// changes are applied. Thread-safe.
   SourceStatus sourceStatus() {
     const std::scoped_lock Guard(this->Lock);
-    return {!this->Builder.isSourceLost(), this->Builder.revision()};
+    return {!this->Builder.isSourceLost(), this->Builder.revision(),
+            this->Builder.keptUntil()};
   }
 
   /// Returns the latest directory, or null until it is complete. Thread-safe.
@@ -442,10 +489,14 @@
 
   /// Compares the upstreams that have changed at the source with the directory,
   /// and returns whether they confirm it; the read of the changes began at
-  /// `ReadAt` and covers those after `sourceStatus`. Thread-safe.
-  bool confirm(std::span<const ListedUpstream> Changed, Instant ReadAt) {
+  /// `ReadAt` and covers those after `After`. A read of a former era, or before
+  /// the directory follows the source again, confirms nothing. Thread-safe.
+  bool confirm(std::span<const ListedUpstream> Changed, Instant ReadAt,
+               const SourceRevision &After = {}) {
     const std::scoped_lock Guard(this->Lock);
-    if (this->Builder.isSourceLost() || !this->Builder.hasAll(Changed)) {
+    if (this->Builder.isSourceLost() || this->Builder.keptUntil() ||
+        After.Era != this->Builder.revision().Era ||
+        !this->Builder.hasAll(Changed)) {
       return false;
     }
     this->LastConfirmation = {ReadAt, this->Builder.current()->edition()};
--- a/include/mulberryhoist/steer-process.h
+++ b/include/mulberryhoist/steer-process.h
@@ -78,7 +78,7 @@
   const auto Dump = [&Directories] {
     const auto InForce = Directories.get();
     return InForce == nullptr
-               ? std::string("{}")
+               ? std::string(NoDirectory)
                : writeDirectory(*InForce, Directories.sourceStatus());
   };
   Feeds.push_back({"data", [&DataPath](const std::stop_token &Stop) {
--- a/include/mulberryhoist/steering-data.h
+++ b/include/mulberryhoist/steering-data.h
@@ -133,6 +133,10 @@
                   "Time until an agent accepted an opening"),
         EvacuatedZones(makeGauge(Metrics, "evacuated_zones",
                                  "Availability zones that get no new flows")),
+        SourceEra(makeGauge(Metrics, "source_era",
+                            "Era of the store; 0 if it has not told one")),
+        SourceReturns(makeCounter(Metrics, "source_returns_total",
+                                  "Returns of the store from an older copy")),
         Gauges(Metrics), Packets(std::move(Packets)), Peers(std::move(Peers)),
         Output(this->Peers, Settings.CallerPort, this->Decisions,
                this->Errors) {}
@@ -143,6 +147,9 @@
     if (Next != Applied && Next != nullptr) {
       Logic.onDirectory(Next);
       this->Output.Version = Next->version();
+      this->SourceEra.Set(
+          static_cast<double>(Next->completeness().Era.value_or(0)));
+      raiseTo(this->SourceReturns, Next->completeness().Returns);
       this->EvacuatedZones.Set(static_cast<double>(
           std::ranges::count_if(Next->evacuations(), &Evacuation::IsActive)));
       Applied = std::move(Next);
@@ -233,6 +240,8 @@
   ErrorCounters Errors;
   DecisionLog Decisions;
   prometheus::Gauge &EvacuatedZones;
+  prometheus::Gauge &SourceEra;
+  prometheus::Counter &SourceReturns;
   LinkGauges Gauges;
   DatagramSocket Packets;
   DatagramSocket Peers;
--- a/src/directory-exchange.cc
+++ b/src/directory-exchange.cc
@@ -130,6 +130,10 @@
                {"services", std::move(Services)},
                {"upstreams", std::move(Upstreams)}};
   writeRevision(Source.Revision, Root);
+  if (Source.KeptUntil) {
+    Root["kept_ms"] =
+        std::max(toMilliseconds(*Source.KeptUntil - now()), std::int64_t{0});
+  }
   if (!ColdRates.empty()) {
     Root["cold_rates"] = std::move(ColdRates);
   }
@@ -145,6 +149,12 @@
     // Balancers of an older version do not send it.
     Parsed.Source.Revision = {Root.value("revision", std::uint64_t{0}),
                               readEra(Root)};
+    if (const auto Kept = Root.find("kept_ms"); Kept != Root.end()) {
+      Parsed.Source.KeptUntil =
+          now() + std::min<Duration>(
+                      std::chrono::milliseconds(Kept->get<std::uint32_t>()),
+                      ReregistrationGrace);
+    }
     for (const Json &Each : Root.at("routes")) {
       Parsed.Routes.Routes.push_back(readRoute(Each));
       if (Parsed.Routes.Routes.back().Targets.empty()) {
@@ -182,11 +192,11 @@
   return Rank(A) > Rank(B);
 }
 
-bool fetchDirectoryFromPeers(std::span<const Endpoint> Peers,
-                             SharedDirectory &To) {
-  std::optional<PeerDirectory> Best;
+std::vector<PeerDirectory> fetchDirectories(std::span<const Endpoint> Peers) {
+  std::vector<PeerDirectory> All;
   for (const auto &Response : httpGetAll(Peers, DirectoryPath, PeerTimeout)) {
-    if (!Response || Response->Status != StatusOk) {
+    if (!Response || Response->Status != StatusOk ||
+        Response->Body == NoDirectory) {
       continue;
     }
     auto Peer = readDirectory(Response->Body);
@@ -194,31 +204,63 @@
       logError(Peer.error());
       continue;
     }
-    To.update([&Peer](DirectoryBuilder &Builder) {
-      Builder.onPeerEvacuations(Peer->Evacuations, now());
-    });
-    if (!Best || isBetter(*Peer, *Best)) {
-      Best = std::move(*Peer);
-    }
+    All.push_back(std::move(*Peer));
   }
+  return All;
+}
+
+std::optional<PeerDirectory> bestDirectory(std::vector<PeerDirectory> All) {
+  const auto Best = std::ranges::max_element(
+      All, [](const auto &A, const auto &B) { return isBetter(B, A); });
+  if (Best == All.end()) {
+    return std::nullopt;
+  }
+  const auto Newest =
+      std::ranges::max_element(All, {}, [&Best](const PeerDirectory &Each) {
+        return std::pair(Each.Source.IsAvailable == Best->Source.IsAvailable,
+                         Each.Routes.Version);
+      });
+  if (Newest != Best) {
+    std::swap(Newest->Routes, Best->Routes);
+  }
+  return std::move(*Best);
+}
+
+void applyPeerDirectory(PeerDirectory Peer, DirectoryBuilder &To) {
+  To.onPeerSource(Peer.Source, now());
+  To.onPeerEvacuations(Peer.Evacuations, now());
+  if (const auto Applied = To.onRoutes(std::move(Peer.Routes), true, now());
+      !Applied) {
+    logError(Applied.error());
+  }
+  To.onPeerListing(std::move(Peer.Upstreams));
+}
+
+bool fetchDirectoryFromPeers(std::span<const Endpoint> Peers,
+                             SharedDirectory &To) {
+  std::vector<PeerDirectory> All = fetchDirectories(Peers);
+  To.update([&All](DirectoryBuilder &Builder) {
+    for (const PeerDirectory &Each : All) {
+      Builder.onPeerEvacuations(Each.Evacuations, now());
+    }
+  });
+  auto Best = bestDirectory(std::move(All));
   if (!Best) {
     return false;
   }
   return To.update([&Best](DirectoryBuilder &Builder) {
-    if (Builder.isComplete() && !Best->Source.IsAvailable) {
-      return false;
-    }
     const bool IsNew = !Builder.isComplete();
-    const auto Accepted =
-        Builder.onRoutes(std::move(Best->Routes), true, now());
-    if (!Accepted) {
+    const bool IsAvailable = Best->Source.IsAvailable;
+    const bool IsOlder = Builder.version() > Best->Routes.Version &&
+                         Best->Source.Revision.Era <= Builder.revision().Era;
+    if (!IsNew && (!IsAvailable || IsOlder)) {
       return false;
     }
-    Builder.onPeerListing(std::move(Best->Upstreams));
+    applyPeerDirectory(std::move(*Best), Builder);
     if (IsNew) {
       log(LogLevel::Info, "directory loaded from another balancer",
           {{"version", static_cast<std::int64_t>(Builder.version())},
-           {"source_available", Best->Source.IsAvailable}});
+           {"source_available", IsAvailable}});
     }
     return true;
   });
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -218,6 +218,13 @@
   }
   Entry &Existing = this->Entries[Changed.Name];
   const bool IsNew = Existing.Listed.Name.empty();
+  if (!IsNew && Existing.Listed.Revision.Era != Changed.Revision.Era) {
+    this->Cached = nullptr;
+    if (isSameIncarnation(Existing.Listed, Changed)) {
+      Existing.Listed.Revision = Changed.Revision;
+      Existing.Listed.Registered = Changed.Registered;
+    }
+  }
   const bool IsSame = Existing.Listed == Changed;
   Existing.ReregisterBy.reset();
   Existing.ExpiresAt.reset();
@@ -266,6 +273,111 @@
   }
 }
 
+void DirectoryBuilder::setUnknownEras(std::uint64_t Next) {
+  for (auto &[Name, Each] : this->Entries) {
+    if (!Each.Listed.Revision.Era) {
+      Each.Listed.Revision.Era = Next;
+    }
+  }
+  for (auto &[Zone, Each] : this->Evacuations) {
+    if (!Each.Latest.Revision.Era) {
+      Each.Latest.Revision.Era = Next;
+    }
+  }
+  if (this->AppliedRevision.Number != 0 && !this->AppliedRevision.Era) {
+    this->AppliedRevision.Era = Next;
+  }
+  this->Cached = nullptr;
+}
+
+void DirectoryBuilder::beginReturn(const SourceRevision &AsOf, Instant Until) {
+  log(LogLevel::Warning, "source came back from an older copy",
+      {{"era", static_cast<std::int64_t>(*AsOf.Era)},
+       {"former_era", static_cast<std::int64_t>(this->Listing.Era.value_or(0))},
+       {"revision", static_cast<std::int64_t>(AsOf.Number)},
+       {"former_revision",
+        static_cast<std::int64_t>(this->AppliedRevision.Number)},
+       {"version", static_cast<std::int64_t>(this->Routes.Version)},
+       {"upstreams", static_cast<std::int64_t>(this->Entries.size())}});
+  ++this->Listing.Returns;
+  this->KeptUntil = Until;
+  this->GraceUntil = Until;
+  if (!this->SourceLost) {
+    this->Listing.SettledAt = Until;
+  }
+  for (auto &[Name, Each] : this->Entries) {
+    if (Each.ReregisterBy) {
+      Each.ReregisterBy = std::max(*Each.ReregisterBy, Until);
+    }
+  }
+}
+
+void DirectoryBuilder::onSource(const SourceRevision &AsOf, Instant HeardAt,
+                                Instant Now) {
+  if (!AsOf.Era || (this->Listing.Era && *AsOf.Era <= *this->Listing.Era)) {
+    return;
+  }
+  const bool WentBack = AsOf.Number < this->AppliedRevision.Number;
+  if (!this->Listing.Era) {
+    this->setUnknownEras(WentBack && *AsOf.Era > 0 ? *AsOf.Era - 1 : *AsOf.Era);
+  }
+  if (this->Listing.Era || WentBack) {
+    this->beginReturn(AsOf, Now + ReregistrationGrace);
+    this->KeepsEnds = Now - HeardAt <= RecentAnswer;
+  }
+  this->Listing.Era = AsOf.Era;
+  this->Cached = nullptr;
+}
+
+void DirectoryBuilder::onPeerSource(const SourceStatus &Peer, Instant Now) {
+  const std::optional<std::uint64_t> &Era = Peer.Revision.Era;
+  if (!Era || (this->Listing.Era && *Era <= *this->Listing.Era)) {
+    return;
+  }
+  if (!this->Listing.Era) {
+    this->setUnknownEras(*Era);
+  }
+  if (this->Listing.Era || Peer.KeptUntil) {
+    this->beginReturn(Peer.Revision, Peer.KeptUntil.value_or(Now));
+    this->KeepsEnds = false;
+  }
+  this->Listing.Era = Era;
+  this->Cached = nullptr;
+}
+
+bool DirectoryBuilder::onCopiedUpstream(ListedUpstream Changed) {
+  const auto Found = this->Entries.find(Changed.Name);
+  if (Found == this->Entries.end() || !this->namesUpstream(Changed) ||
+      Found->second.Listed.Revision.Era >= Changed.Revision.Era) {
+    this->onUpstream(std::move(Changed));
+    return true;
+  }
+  Entry &Known = Found->second;
+  const bool HasStartTimes =
+      Known.Listed.StartedAt.count() != 0 && Changed.StartedAt.count() != 0;
+  if (HasStartTimes && Changed.StartedAt > Known.Listed.StartedAt) {
+    this->onUpstream(std::move(Changed));
+    return true;
+  }
+  if (HasStartTimes && Changed.StartedAt < Known.Listed.StartedAt) {
+    logUpstream("entry of a former process ignored", Changed);
+    return false;
+  }
+  const bool IsReadyAgain = Changed.State == UpstreamState::Ready &&
+                            Known.Listed.State != UpstreamState::Ready;
+  if (IsReadyAgain || Known.ExpiresAt) {
+    logUpstream("older entry of a copy ignored", Known.Listed);
+    return true;
+  }
+  if (Changed.State == UpstreamState::Ready &&
+      Changed.Revision.Number <= Known.Listed.Revision.Number) {
+    Known.ReregisterBy.reset();
+    return true;
+  }
+  this->onUpstream(std::move(Changed));
+  return true;
+}
+
 void DirectoryBuilder::onListing(std::vector<ListedUpstream> All, Instant Now) {
   if (this->SourceLost && this->HasListing) {
     this->GraceUntil = Now + ReregistrationGrace;
@@ -278,9 +390,15 @@
   this->SourceLost = false;
   this->HasListing = true;
   std::set<std::string, std::less<>> Present;
+  const bool IsCopy = this->isCopy(Now);
   for (ListedUpstream &Each : All) {
-    Present.insert(Each.Name);
-    this->onUpstream(std::move(Each));
+    std::string Name = Each.Name;
+    if (!IsCopy) {
+      this->onUpstream(std::move(Each));
+    } else if (!this->onCopiedUpstream(std::move(Each))) {
+      continue;
+    }
+    Present.insert(std::move(Name));
   }
   std::erase_if(this->Foreign, [&Present](const auto &Each) {
     return !Present.contains(Each.first);
@@ -290,6 +408,11 @@
       this->remove(Each, Now);
     }
   }
+  if (!IsCopy && this->KeptUntil) {
+    log(LogLevel::Info, "directory follows the source again",
+        {{"upstreams", static_cast<std::int64_t>(Present.size())}});
+    this->KeptUntil.reset();
+  }
   this->Cached = nullptr;
 }
 
@@ -335,23 +458,40 @@
          {"revision", static_cast<std::int64_t>(Changed.Revision.Number)},
          {"upstreams", static_cast<std::int64_t>(Upstreams)}});
   }
-  this->Evacuations.insert_or_assign(Zone,
-                                     KnownEvacuation{std::move(Changed), Now});
+  const SourceRevision BeganAt =
+      IsActive || !IsKnown ? Changed.Revision : Found->second.BeganAt;
+  this->Evacuations.insert_or_assign(
+      Zone, KnownEvacuation{std::move(Changed), Now, BeganAt});
   this->Cached = nullptr;
 }
 
+bool DirectoryBuilder::hasEnded(const Evacuation &Copied) const {
+  const auto Found = this->Evacuations.find(Copied.AvailabilityZone);
+  if (!this->KeepsEnds || Found == this->Evacuations.end()) {
+    return false;
+  }
+  const KnownEvacuation &Known = Found->second;
+  return !Known.Latest.IsActive &&
+         Known.Latest.Revision.Era < Copied.Revision.Era &&
+         Known.BeganAt.Number == Copied.Revision.Number;
+}
+
 void DirectoryBuilder::onEvacuationListing(std::span<const Evacuation> All,
                                            const SourceRevision &AsOf,
                                            Instant Now) {
+  const bool IsCopy = this->isCopy(Now);
   for (const Evacuation &Each : All) {
-    this->onEvacuation(Each, Now);
+    if (!IsCopy || !this->hasEnded(Each)) {
+      this->onEvacuation(Each, Now);
+    }
   }
   std::vector<Evacuation> Ended;
   for (const auto &[Zone, Each] : this->Evacuations) {
     const bool IsListed =
         std::ranges::find(All, Zone, &Evacuation::AvailabilityZone) !=
         All.end();
-    if (Each.Latest.IsActive && !IsListed &&
+    const bool IsKept = IsCopy && Each.Latest.Revision.Era < AsOf.Era;
+    if (Each.Latest.IsActive && !IsListed && !IsKept &&
         isOlder(Each.Latest.Revision, AsOf)) {
       Ended.push_back({Zone, AsOf, false});
     }
@@ -363,12 +503,15 @@
 
 void DirectoryBuilder::onPeerEvacuations(std::span<const Evacuation> All,
                                          Instant Now) {
-  for (const Evacuation &Each : All) {
+  for (Evacuation Each : All) {
+    if (!Each.Revision.Era) {
+      Each.Revision.Era = this->Listing.Era;
+    }
     // One that is not known at the applied revision has ended before it.
     const bool IsApplied = !isOlder(this->AppliedRevision, Each.Revision) &&
                            !this->Evacuations.contains(Each.AvailabilityZone);
     if (!IsApplied) {
-      this->onEvacuation(Each, Now);
+      this->onEvacuation(std::move(Each), Now);
     }
   }
 }
@@ -380,6 +523,9 @@
 void DirectoryBuilder::onPeerListing(std::vector<ListedUpstream> All) {
   this->HasListing = true;
   for (ListedUpstream &Each : All) {
+    if (!Each.Revision.Era) {
+      Each.Revision.Era = this->Listing.Era;
+    }
     const auto Known = this->Entries.find(Each.Name);
     // An upstream that is not known at the applied revision has left before it.
     const bool IsKnown =
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -803,6 +803,311 @@
                       true, 6}),
     [](const auto &Info) { return Info.param.Name; });
 
+ListedUpstream entry(std::uint32_t Number, UpstreamState State,
+                     const SourceRevision &Revision,
+                     milliseconds StartedAt = milliseconds(100)) {
+  ListedUpstream Each = atRevision(upstream(Number, State), Revision);
+  Each.Registered = Revision.Number;
+  Each.StartedAt = StartedAt;
+  return Each;
+}
+
+/// Moves an entry to the address of the upstream with another number.
+ListedUpstream atAddressOf(ListedUpstream Each, std::uint32_t Number) {
+  Each.Address = agentAddress(Number);
+  return Each;
+}
+
+constexpr auto Ready = UpstreamState::Ready;
+constexpr auto Draining = UpstreamState::Draining;
+constexpr auto Gone = UpstreamState::Gone;
+
+/// What a balancer knows of an upstream when the source comes back from an
+/// older copy, and what it makes of the copy.
+struct ReturnRow {
+  std::string Name;
+  std::vector<ListedUpstream> Before;
+  /// The upstreams that have left before the return.
+  std::vector<std::string> Left = {};
+  std::vector<ListedUpstream> Copy = {};
+  /// What the watch reports after the first listing of the copy.
+  std::vector<ListedUpstream> Written = {};
+  /// The state of the first upstream of `Before`, until what was lost has been
+  /// written again and after that.
+  UpstreamState First = Ready;
+  UpstreamState Later = Ready;
+};
+
+class ReturnTest : public DirectoryBuilderTest,
+                   public testing::WithParamInterface<ReturnRow> {
+protected:
+  UpstreamState stateOfFirst() {
+    const std::string &Name = GetParam().Before.front().Name;
+    for (const ListedUpstream &Each :
+         this->Builder.current()->upstreams(OrderService)) {
+      if (Each.Name == Name) {
+        return Each.State;
+      }
+    }
+    return Gone;
+  }
+
+  void list(std::vector<ListedUpstream> All, const SourceRevision &AsOf) {
+    this->Builder.onSource(AsOf, this->Now, this->Now);
+    this->Builder.onListing(std::move(All), this->Now);
+    this->Builder.onRevision(AsOf);
+  }
+};
+
+// Guards against an older copy of the source that replaces what a balancer
+// knows: flows of living upstreams would be reset, and new flows sent to those
+// that drain or have left.
+TEST_P(ReturnTest, CopyDoesNotReplaceWhatIsKnown) {
+  const ReturnRow &Row = GetParam();
+  this->list(Row.Before, {30, 1});
+  for (const std::string &Each : Row.Left) {
+    this->Builder.onRemoved(Each, this->Now);
+  }
+  this->Now += milliseconds(500);
+  this->list(Row.Copy, {12, 2});
+  ASSERT_EQ(this->Builder.completeness().Returns, 1U);
+  std::vector<ListedUpstream> Present = Row.Copy;
+  for (const ListedUpstream &Each : Row.Written) {
+    this->Builder.onUpstream(Each);
+    std::erase_if(Present,
+                  [&](const auto &Old) { return Old.Name == Each.Name; });
+    Present.push_back(Each);
+  }
+  EXPECT_EQ(this->stateOfFirst(), Row.First);
+  EXPECT_EQ(this->Builder.keptUntil(), this->Now + ReregistrationGrace);
+  this->Now += ReregistrationGrace;
+  this->Builder.onTick(this->Now);
+  this->list(Present, {20, 2});
+  EXPECT_EQ(this->stateOfFirst(), Row.Later);
+  EXPECT_FALSE(this->Builder.keptUntil().has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, ReturnTest,
+    testing::Values(
+        ReturnRow{.Name = "drainingIsReadyInTheCopy",
+                  .Before = {entry(1, Draining, {9, 1})},
+                  .Copy = {entry(1, Ready, {5, 2})},
+                  .First = Draining},
+        ReturnRow{.Name = "drainingWritesAgain",
+                  .Before = {entry(1, Draining, {9, 1})},
+                  .Copy = {entry(1, Ready, {5, 2})},
+                  .Written = {entry(1, Draining, {13, 2})},
+                  .First = Draining,
+                  .Later = Draining},
+        ReturnRow{.Name = "restartedUnderItsName",
+                  .Before = {entry(1, Draining, {9, 1})},
+                  .Copy = {entry(1, Ready, {8, 2}, milliseconds(200))}},
+        ReturnRow{.Name = "restartReportedByTheWatch",
+                  .Before = {entry(1, Draining, {9, 1})},
+                  .Copy = {entry(1, Ready, {5, 2})},
+                  .Written = {entry(1, Ready, {13, 2}, milliseconds(200))}},
+        ReturnRow{.Name = "formerProcessInTheCopy",
+                  .Before = {entry(1, Ready, {9, 1}, milliseconds(200))},
+                  .Copy = {entry(1, Draining, {5, 2})},
+                  .Written = {entry(1, Ready, {13, 2}, milliseconds(200))}},
+        ReturnRow{.Name = "leftAndListedInTheCopy",
+                  .Before = {entry(1, Ready, {9, 1})},
+                  .Left = {"i-1"},
+                  .Copy = {entry(1, Ready, {9, 2})},
+                  .First = Gone},
+        ReturnRow{.Name = "registeredAfterTheCopy",
+                  .Before = {entry(1, Ready, {9, 1})},
+                  .Later = Gone},
+        ReturnRow{.Name = "registeredAfterTheCopyAndWritesAgain",
+                  .Before = {entry(1, Ready, {9, 1})},
+                  .Written = {entry(1, Ready, {13, 2})}},
+        ReturnRow{.Name = "drainsSinceTheReturn",
+                  .Before = {entry(1, Ready, {9, 1})},
+                  .Copy = {entry(1, Draining, {6, 2})},
+                  .First = Draining,
+                  .Later = Draining},
+        ReturnRow{.Name = "unchanged",
+                  .Before = {entry(1, Ready, {9, 1})},
+                  .Copy = {entry(1, Ready, {9, 2})}},
+        ReturnRow{.Name = "startTimeUnknown",
+                  .Before = {entry(1, Draining, {9, 1}, milliseconds(0))},
+                  .Copy = {entry(1, Ready, {5, 2}, milliseconds(0))},
+                  .First = Draining},
+        ReturnRow{.Name = "addressHasAnotherOwnerSinceTheCopy",
+                  .Before = {entry(1, Ready, {9, 1}),
+                             atAddressOf(entry(5, Ready, {20, 1}), 1)},
+                  .Copy = {entry(1, Ready, {9, 2})},
+                  .Written = {atAddressOf(entry(5, Ready, {13, 2}), 1)},
+                  .First = Gone,
+                  .Later = Gone},
+        ReturnRow{.Name = "addressTakenOver",
+                  .Before = {entry(5, Ready, {20, 1}), entry(1, Ready, {9, 1})},
+                  .Left = {"i-1"},
+                  .Copy = {entry(1, Ready, {9, 2})},
+                  .Written = {entry(5, Ready, {13, 2})}}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against knowledge that is lost at the second of two returns.
+TEST_F(ReturnTest, SecondReturnKeepsWhatIsKnownAnew) {
+  this->list({entry(1, Draining, {9, 1}), entry(2, Ready, {10, 1})}, {30, 1});
+  this->list({entry(1, Ready, {5, 2})}, {12, 2});
+  this->Now += milliseconds(2000);
+  this->list({entry(1, Ready, {4, 3})}, {8, 3});
+  this->Now += milliseconds(2000);
+  this->Builder.onTick(this->Now);
+  EXPECT_EQ(this->stateOf(1), Draining);
+  EXPECT_EQ(this->stateOf(2), Ready);
+  EXPECT_EQ(this->Builder.completeness().Returns, 2U);
+}
+
+// Guards against a source that begins to tell its era and is taken for one that
+// came back, and against one that came back meanwhile and is not.
+TEST_F(ReturnTest, FirstEraIsAReturnOnlyIfRevisionsWentBack) {
+  for (const bool WentBack : {false, true}) {
+    this->Builder = {};
+    this->list({entry(1, Draining, 9)}, 30);
+    this->list({entry(1, Ready, {5, 1})}, {WentBack ? 12U : 31U, 1});
+    EXPECT_EQ(this->Builder.completeness().Returns, WentBack ? 1U : 0U);
+    EXPECT_EQ(this->stateOf(1), WentBack ? Draining : Ready);
+  }
+}
+
+// Guards against a balancer that starts after a return and knows the copy
+// alone, or reads the source long after the others.
+TEST_F(ReturnTest, EraOfAnotherBalancerBeginsTheReturn) {
+  const auto KeptUntil = this->Now + milliseconds(1000);
+  this->Builder.onPeerSource({true, {12, 2}, KeptUntil}, this->Now);
+  this->Builder.onPeerListing(
+      {entry(1, Draining, {9, 1}), entry(2, Ready, {11, 2})});
+  this->list({entry(1, Ready, {5, 2}), entry(2, Draining, {13, 2})}, {14, 2});
+  EXPECT_EQ(this->stateOf(1), Draining);
+  EXPECT_EQ(this->stateOf(2), Draining);
+  EXPECT_EQ(this->Builder.keptUntil(), KeptUntil);
+  this->Now = KeptUntil;
+  this->list({entry(1, Ready, {5, 2})}, {15, 2});
+  EXPECT_EQ(this->stateOf(1), Ready);
+}
+
+/// What is known of the evacuation of a zone when the source comes back from an
+/// older copy.
+struct EvacuationReturnRow {
+  std::string Name;
+  std::vector<Evacuation> Before;
+  std::vector<Evacuation> Copy = {};
+  std::vector<Evacuation> Written = {};
+  /// When the former source answered last.
+  Duration Silence = std::chrono::seconds(1);
+  bool IsActive = false;
+  bool IsActiveLater = false;
+};
+
+class EvacuationReturnTest
+    : public DirectoryBuilderTest,
+      public testing::WithParamInterface<EvacuationReturnRow> {
+protected:
+  bool isActive() {
+    const auto InForce = this->Builder.current();
+    return std::ranges::any_of(InForce->evacuations(), &Evacuation::IsActive);
+  }
+
+  void list(std::span<const Evacuation> All, const SourceRevision &AsOf,
+            Instant HeardAt) {
+    this->Builder.onSource(AsOf, HeardAt, this->Now);
+    this->Builder.onEvacuationListing(All, AsOf, this->Now);
+    this->Builder.onListing({}, this->Now);
+    this->Builder.onRevision(AsOf);
+  }
+};
+
+// Guards against a zone that gets new flows although it is evacuated, and one
+// that gets none although that has ended, because of an older copy.
+TEST_P(EvacuationReturnTest, CopyDoesNotReplaceWhatIsKnown) {
+  const EvacuationReturnRow &Row = GetParam();
+  this->list({}, {3, 1}, this->Now);
+  for (const Evacuation &Each : Row.Before) {
+    this->Builder.onEvacuation(Each, this->Now);
+  }
+  this->Builder.onRevision({30, 1});
+  this->list(Row.Copy, {12, 2}, this->Now - Row.Silence);
+  std::vector<Evacuation> Present = Row.Copy;
+  for (const Evacuation &Each : Row.Written) {
+    this->Builder.onEvacuation(Each, this->Now);
+    Present.clear();
+    if (Each.IsActive) {
+      Present.push_back(Each);
+    }
+  }
+  EXPECT_EQ(this->isActive(), Row.IsActive);
+  this->Now += ReregistrationGrace;
+  this->list(Present, {20, 2}, this->Now);
+  EXPECT_EQ(this->isActive(), Row.IsActiveLater);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, EvacuationReturnTest,
+    testing::Values(
+        EvacuationReturnRow{.Name = "copyLacksIt",
+                            .Before = {evacuation({9, 1})},
+                            .IsActive = true},
+        EvacuationReturnRow{.Name = "copyLacksItAndItIsWrittenAgain",
+                            .Before = {evacuation({9, 1})},
+                            .Written = {evacuation({13, 2})},
+                            .IsActive = true,
+                            .IsActiveLater = true},
+        EvacuationReturnRow{.Name = "endedSinceTheReturn",
+                            .Before = {evacuation({9, 1})},
+                            .Written = {evacuation({13, 2}, false)}},
+        EvacuationReturnRow{
+            .Name = "endedSinceTheCopy",
+            .Before = {evacuation({5, 1}), evacuation({9, 1}, false)},
+            .Copy = {evacuation({5, 2})},
+            .IsActiveLater = true},
+        EvacuationReturnRow{
+            .Name = "endIsWrittenAgain",
+            .Before = {evacuation({5, 1}), evacuation({9, 1}, false)},
+            .Copy = {evacuation({5, 2})},
+            .Written = {evacuation({13, 2}, false)}},
+        EvacuationReturnRow{
+            .Name = "beganAgainSinceTheReturn",
+            .Before = {evacuation({5, 1}), evacuation({9, 1}, false)},
+            .Copy = {evacuation({6, 2})},
+            .IsActive = true,
+            .IsActiveLater = true},
+        // It may have begun too long ago to wait for the next listing.
+        EvacuationReturnRow{
+            .Name = "endedSinceTheCopyAfterALongSilence",
+            .Before = {evacuation({5, 1}), evacuation({9, 1}, false)},
+            .Copy = {evacuation({5, 2})},
+            .Silence = std::chrono::seconds(3),
+            .IsActive = true,
+            .IsActiveLater = true}),
+    [](const auto &Info) { return Info.param.Name; });
+
+// Guards against a reset that relies on a read of the former era, or on a copy
+// that lacks living upstreams.
+TEST(SharedDirectoryTest, ConfirmsOnlyInThePresentEra) {
+  SharedDirectory Shared;
+  Instant Now = Instant(std::chrono::hours(1));
+  const auto List = [&](const SourceRevision &AsOf) {
+    Shared.update([&](DirectoryBuilder &Builder) {
+      (void)Builder.onRoutes(routes(7), false, Now);
+      Builder.onSource(AsOf, Now, Now);
+      Builder.onListing({}, Now);
+      Builder.onRevision(AsOf);
+    });
+  };
+  List({30, 1});
+  EXPECT_TRUE(Shared.confirm({}, Now, {30, 1}));
+  List({12, 2});
+  EXPECT_FALSE(Shared.confirm({}, Now, {30, 1}));
+  EXPECT_FALSE(Shared.confirm({}, Now, {12, 2}));
+  Now += ReregistrationGrace;
+  List({14, 2});
+  EXPECT_FALSE(Shared.confirm({}, Now, {30, 1}));
+  EXPECT_TRUE(Shared.confirm({}, Now, {14, 2}));
+}
+
 // Guards against an agent that keeps the state of an older revision: a change
 // of the upstream or of its zone is newer than what it was told before.
 TEST_F(DirectoryBuilderTest, IntakeHasTheRevisionThatDecidedIt) {
--- a/test/store-feed-test.cc
+++ b/test/store-feed-test.cc
@@ -4,6 +4,8 @@
 
 #include <thread>
 
+#include "mulberryhoist/admin.h"
+#include "mulberryhoist/process.h"
 #include "soak/store.h"
 
 namespace mulberryhoist::platform {
@@ -139,6 +141,154 @@
             [](Store &Server) { Server.setMode(StoreMode::Busy); }}),
     [](const auto &Info) { return Info.param.Name; });
 
+/// Runs a feed against a store that holds a configuration and two upstreams.
+class FeedReturnTest : public testing::Test {
+protected:
+  FeedReturnTest() {
+    this->Server.put("op/config", configuration(7));
+    this->Server.put("servers/i-1", std::string(Entry));
+    this->Server.put("servers/i-2", otherEntry("ready"));
+    this->Copy = this->Server.copy();
+  }
+
+  static std::string otherEntry(std::string_view State) {
+    std::string Text(Entry);
+    Text.replace(Text.find("10.128.0.9"), 10, "10.128.0.7");
+    Text.replace(Text.find("ready"), 5, State);
+    return Text;
+  }
+
+  static BootSettings settings(std::vector<Endpoint> Seeds = {}) {
+    BootSettings Settings;
+    Settings.Store = Address;
+    Settings.Seeds = std::move(Seeds);
+    return Settings;
+  }
+
+  static std::jthread start(StoreFeed &Feed) {
+    return std::jthread([&Feed](const std::stop_token &Stop) {
+      EXPECT_TRUE(Feed.run(Stop).has_value());
+    });
+  }
+
+  /// The state of `i-2`, which counts as gone while it is not listed.
+  static UpstreamState stateOfOther(const SharedDirectory &From) {
+    UpstreamState State = UpstreamState::Gone;
+    if (const auto InForce = From.get()) {
+      InForce->forEachUpstream([&State](const ListedUpstream &Each) {
+        State = Each.Name == "i-2" ? Each.State : State;
+      });
+    }
+    return State;
+  }
+
+  template <std::invocable Condition>
+  static bool await(const Condition &IsMet,
+                    milliseconds Limit = milliseconds(4000)) {
+    const Instant Until = now() + Limit;
+    while (!IsMet() && now() < Until) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    return IsMet();
+  }
+
+  Store Server{Address};
+  Store::Copy Copy;
+  SharedDirectory Directories;
+};
+
+// Guards against a balancer that hears nothing of the store until its revision
+// has passed the greatest one before the return (review case 11).
+TEST_F(FeedReturnTest, DrainIsInForceBelowTheFormerRevision) {
+  StoreFeed Feed(settings(), this->Directories);
+  for (int I = 0; I < 20; ++I) {
+    this->Server.put("servers/i-3", otherEntry(std::to_string(I)));
+  }
+  const auto Reader = start(Feed);
+  ASSERT_TRUE(await(
+      [&] { return stateOfOther(this->Directories) == UpstreamState::Ready; }));
+  this->Server.returnFrom(this->Copy);
+  this->Server.put("servers/i-2", otherEntry("draining"));
+  EXPECT_TRUE(await([&] {
+    return stateOfOther(this->Directories) == UpstreamState::Draining;
+  }));
+}
+
+// Guards against new flows for an upstream that drains, because the copy has it
+// as ready, and against one that gets none for good.
+TEST_F(FeedReturnTest, CopyCountsOnceWhatWasLostIsWrittenAgain) {
+  StoreFeed Feed(settings(), this->Directories);
+  this->Server.put("servers/i-2", otherEntry("draining"));
+  const auto Reader = start(Feed);
+  ASSERT_TRUE(await([&] {
+    return stateOfOther(this->Directories) == UpstreamState::Draining;
+  }));
+  this->Server.returnFrom(this->Copy);
+  ASSERT_TRUE(await(
+      [&] { return this->Directories.sourceStatus().KeptUntil.has_value(); }));
+  EXPECT_EQ(stateOfOther(this->Directories), UpstreamState::Draining);
+  std::this_thread::sleep_for(milliseconds(2000));
+  EXPECT_EQ(stateOfOther(this->Directories), UpstreamState::Draining);
+  EXPECT_TRUE(await(
+      [&] { return stateOfOther(this->Directories) == UpstreamState::Ready; }));
+  EXPECT_FALSE(this->Directories.sourceStatus().KeptUntil.has_value());
+}
+
+// Guards against the reset of an open flow whose upstream the directory lacks:
+// its entry has a revision that was given out before (review case 12).
+TEST_F(FeedReturnTest, ReadOfAnotherEraConfirmsNothing) {
+  StoreFeed Feed(settings(), this->Directories);
+  {
+    const auto Reader = start(Feed);
+    ASSERT_TRUE(await([&] { return this->Directories.get() != nullptr; }));
+  }
+  this->Server.returnFrom(this->Copy);
+  const std::jthread Confirmer([&Feed](const std::stop_token &Stop) {
+    EXPECT_TRUE(Feed.confirm(Stop).has_value());
+  });
+  this->Directories.requestConfirmation();
+  EXPECT_FALSE(
+      await([&] { return this->Directories.confirmation().has_value(); },
+            milliseconds(500)));
+}
+
+// Guards against a balancer that starts after the return and believes the copy:
+// it would send new flows to an upstream that drains, and refuse those of a
+// route that only the newer configuration has.
+TEST_F(FeedReturnTest, BalancerThatStartsAfterTheReturnAsksTheOthers) {
+  StoreFeed Feed(settings(), this->Directories);
+  this->Server.put("servers/i-2", otherEntry("draining"));
+  this->Server.put("op/config", configuration(9));
+  const auto Reader = start(Feed);
+  ASSERT_TRUE(await([&] {
+    return stateOfOther(this->Directories) == UpstreamState::Draining;
+  }));
+  auto Control = AdminServer::create({0x7F000001, 0});
+  ASSERT_TRUE(Control.has_value());
+  Control->handle(std::string(DirectoryPath), [this](const AdminQuery &) {
+    return AdminAnswer{StatusOk, "application/json",
+                       writeDirectory(*this->Directories.get(),
+                                      this->Directories.sourceStatus())};
+  });
+  const std::jthread Serving([&Control](const std::stop_token &Stop) {
+    EXPECT_TRUE(Control->run(Stop).has_value());
+  });
+  this->Server.returnFrom(this->Copy);
+  for (const bool OthersHaveNoticed : {false, true}) {
+    if (OthersHaveNoticed) {
+      ASSERT_TRUE(await([&] {
+        return this->Directories.sourceStatus().KeptUntil.has_value();
+      }));
+    }
+    SharedDirectory Own;
+    StoreFeed Started(settings({Control->address()}), Own);
+    const auto OwnReader = start(Started);
+    ASSERT_TRUE(await([&] { return Own.get() != nullptr; }));
+    EXPECT_EQ(stateOfOther(Own), UpstreamState::Draining) << OthersHaveNoticed;
+    EXPECT_EQ(Own.get()->version(), 9U) << OthersHaveNoticed;
+  }
+}
+
 /// Changes of the store: the first one evacuates the upstream's zone, and each
 /// further one changes that.
 struct EvacuationRow {
