--- a/test/store-feed-test.cc
+++ b/test/store-feed-test.cc
@@ -289,6 +289,20 @@
   }
 }
 
+// Guards against a balancer that learned of the return from others, and then
+// takes what the former store still answers for newer.
+TEST_F(FeedReturnTest, ListingOfAnEarlierEraIsNotApplied) {
+  this->Directories.update([](DirectoryBuilder &Builder) {
+    Builder.onPeerSource({true, {3, 2}}, now());
+  });
+  StoreFeed Feed(settings(), this->Directories);
+  const auto Reader = start(Feed);
+  EXPECT_FALSE(await([&] { return this->Directories.get() != nullptr; },
+                     milliseconds(300)));
+  this->Server.returnFrom(this->Copy);
+  EXPECT_TRUE(await([&] { return this->Directories.get() != nullptr; }));
+}
+
 /// Changes of the store: the first one evacuates the upstream's zone, and each
 /// further one changes that.
 struct EvacuationRow {
