Let the soak's store come back from an older copy

The store returns from a copy up to five seconds old, among the other faults; the operator and the upstreams write again within two seconds, and entries that nobody writes lapse. `mulberry-soak` draws it by default and counts it; with `--returns 0`, and in the former rows of `soak-test`, a seed draws what it drew before.

--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -10,6 +10,7 @@
 struct SeedRow {
   std::uint64_t Seed;
   bool HasFaults;
+  bool HasReturns = false;
 };
 
 class SoakTest : public testing::TestWithParam<SeedRow> {};
@@ -22,6 +23,7 @@
   SoakSettings Settings;
   Settings.Seed = GetParam().Seed;
   Settings.HasFaults = GetParam().HasFaults;
+  Settings.HasReturns = GetParam().HasReturns;
   Settings.Programs = MULBERRY_BINARY_DIR;
   const auto Report = runSoak(Settings);
   ASSERT_TRUE(Report.has_value()) << Report.error().Detail;
@@ -33,6 +35,7 @@
     ADD_FAILURE() << Each << "\nfaults:\n" << Faults;
   }
   EXPECT_GT(Report->Served, 0U);
+  EXPECT_EQ(Report->Returns > 0, GetParam().HasReturns);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest,
--- a/test/soak/soak-main.cc
+++ b/test/soak/soak-main.cc
@@ -35,6 +35,12 @@
      .Default = "3",
      .Min = 1,
      .Max = 50},
+    {.Name = "returns",
+     .Type = SettingType::Number,
+     .Help = "1 if the store comes back from older copies, 0 if not",
+     .Default = "1",
+     .Min = 0,
+     .Max = 1},
     {.Name = "upstreams",
      .Type = SettingType::Number,
      .Help = "Number of upstreams, each with an agent",
@@ -50,9 +56,10 @@
     return false;
   }
   fmt::print("seed {}: served {}, refused {}, reset {}, expired {}, calm "
-             "share {:.3f}, {} promises broken\n",
+             "share {:.3f}, {} returns, {} promises broken\n",
              Settings.Seed, Report->Served, Report->Refused, Report->Reset,
-             Report->Expired, Report->CalmShare, Report->Violations.size());
+             Report->Expired, Report->CalmShare, Report->Returns,
+             Report->Violations.size());
   for (const std::string &Each : Report->Violations) {
     fmt::print("  broken: {}\n", Each);
   }
@@ -82,6 +89,7 @@
         static_cast<std::uint64_t>(Parsed->number("first-seed") + I);
     Settings.Faults = std::chrono::seconds(Parsed->number("seconds"));
     Settings.Balancers = static_cast<std::size_t>(Parsed->number("balancers"));
+    Settings.HasReturns = Parsed->number("returns") != 0;
     Settings.Upstreams = static_cast<std::size_t>(Parsed->number("upstreams"));
     Settings.Programs = std::filesystem::path(Arguments[0]).parent_path();
     Failed += runSeed(Settings) ? 0 : 1;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -1,8 +1,11 @@
 #include "soak/soak.h"
 
 #include <csignal>
+#include <deque>
 #include <fmt/format.h>
 #include <fstream>
+#include <functional>
+#include <map>
 #include <random>
 #include <thread>
 #include <unistd.h>
@@ -42,6 +45,13 @@
 constexpr Duration DrainBound = std::chrono::seconds(3);
 constexpr Duration StableTime = std::chrono::seconds(4);
 
+// After the store came back from an older copy: when all that it lost is
+// written again, and when entries that nobody writes lapse.
+constexpr Duration RewriteTime = std::chrono::seconds(2);
+constexpr Duration LapseTime = milliseconds(3000);
+constexpr Duration CopyPeriod = milliseconds(500);
+constexpr std::size_t MaxCopies = 10;
+
 /// One VM: its address and the process on it.
 struct Vm {
   std::uint32_t Address = 0;
@@ -103,6 +113,7 @@
     SoakReport Report;
     Report.Violations = this->Seen.violations();
     Report.Faults = this->Faults;
+    Report.Returns = this->Returns;
     Report.Served = this->Seen.count(Outcome::Served);
     Report.Refused = this->Seen.count(Outcome::Refused);
     Report.Reset = this->Seen.count(Outcome::Reset);
@@ -193,7 +204,8 @@
     this->list(Number, "ready");
   }
 
-  void list(std::size_t Number, std::string_view State) {
+  void list(std::size_t Number, const std::string &State) {
+    this->States[Number] = State;
     const std::uint32_t Address =
         this->Network + 100 + static_cast<std::uint32_t>(Number);
     this->Platform.put(
@@ -255,13 +267,84 @@
     if (this->StoreUpAt && now() >= *this->StoreUpAt) {
       this->StoreUpAt.reset();
       this->Platform.setMode(StoreMode::Resetting);
+      if (this->ReturnsFrom) {
+        this->returnStore();
+      }
       this->Platform.setMode(StoreMode::Up);
       this->StoreTroubleAt = now();
     }
+    this->keepCopy();
+    while (!this->Due.empty() && now() >= this->Due.begin()->first) {
+      const auto Next = this->Due.extract(this->Due.begin());
+      Next.mapped()();
+    }
+  }
+
+  void keepCopy() {
+    if (!this->Settings.HasReturns || now() < this->NextCopyAt) {
+      return;
+    }
+    this->NextCopyAt = now() + CopyPeriod;
+    this->Copies.push_back(this->Platform.copy());
+    if (this->Copies.size() > MaxCopies) {
+      this->Copies.pop_front();
+    }
+  }
+
+  /// Takes the store away, to come back from a copy up to five seconds old.
+  void beginReturn() {
+    if (this->Copies.empty() || this->StoreUpAt) {
+      return;
+    }
+    const std::size_t Age = this->pick(this->Copies.size());
+    this->ReturnsFrom = this->Copies[this->Copies.size() - 1 - Age];
+    this->note(fmt::format("store returns from copy {}", Age));
+    this->Platform.setMode(StoreMode::Resetting);
+    this->StoreUpAt = now() + milliseconds(200 + this->pick(1000));
+    // Rules with a time bound do not hold until the store has been stable.
+    for (const auto &Each : this->Upstreams) {
+      Each->setNoNewFlowsAfter(Instant::max());
+    }
+  }
+
+  void returnStore() {
+    ++this->Returns;
+    this->Platform.returnFrom(*this->ReturnsFrom);
+    this->ReturnsFrom.reset();
+    this->Copies.clear();
+    const auto Within = [this](Duration Limit) {
+      return now() + milliseconds(this->pick(
+                         static_cast<std::size_t>(toMilliseconds(Limit))));
+    };
+    this->Due.emplace(Within(RewriteTime), [this] { this->publishRoutes(); });
+    for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
+      this->Due.emplace(Within(RewriteTime),
+                        [this, I] { this->list(I, this->States[I]); });
+    }
+    this->Due.emplace(now() + LapseTime, [this] { this->removeFormerNames(); });
+    this->Due.emplace(now() + StableTime + DrainBound, [this] {
+      for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
+        if (this->States[I] == "draining" && !this->StoreUpAt) {
+          this->Upstreams[I]->setNoNewFlowsAfter(now());
+        }
+      }
+    });
+  }
+
+  void removeFormerNames() {
+    for (std::uint32_t Name = 1; Name <= this->Names; ++Name) {
+      const std::string Each = fmt::format("i-{}", Name);
+      if (std::ranges::find(this->Upstreams, Each, [](const auto &Upstream) {
+            return Upstream->name();
+          }) == this->Upstreams.end()) {
+        this->Platform.remove("servers/" + Each);
+      }
+    }
   }
 
   void injectFault(Callers &Clients) {
-    constexpr std::size_t Kinds = 11;
+    // Without returns, a seed draws the same faults as before there were any.
+    const std::size_t Kinds = this->Settings.HasReturns ? 12 : 11;
     Vm &Target = this->Vms[this->pick(this->Vms.size())];
     const std::size_t Number = this->pick(this->Upstreams.size());
     switch (this->pick(Kinds)) {
@@ -305,10 +388,13 @@
       this->note(fmt::format("slow upstream {}", Number));
       this->Upstreams[Number]->setSlow(this->pick(2) == 0);
       break;
-    default:
+    case 10:
       this->note("lose packets");
       Clients.setLoss(0.01 * static_cast<double>(this->pick(8)));
       break;
+    default:
+      this->beginReturn();
+      break;
     }
   }
 
@@ -318,6 +404,10 @@
                                    StoreMode::Slow};
     const StoreMode Next = Modes[this->pick(std::size(Modes))];
     this->note(fmt::format("store mode {}", static_cast<int>(Next)));
+    if (this->ReturnsFrom) {
+      // It stays away until it returns.
+      return;
+    }
     this->Platform.setMode(Next);
     this->StoreUpAt = now() + milliseconds(300 + this->pick(2500));
   }
@@ -380,11 +470,19 @@
   std::vector<std::unique_ptr<UpstreamStandIn>> Upstreams;
   std::vector<bool> Serves;
   std::vector<std::string> Faults;
+  /// The state that each upstream writes.
+  std::map<std::size_t, std::string> States;
+  std::deque<Store::Copy> Copies;
+  Instant NextCopyAt;
+  std::optional<Store::Copy> ReturnsFrom;
+  /// What is done at a time.
+  std::multimap<Instant, std::function<void()>> Due;
   std::optional<Instant> StoreUpAt;
   Instant StoreTroubleAt;
   Instant Began = now();
   std::uint64_t Version = 0;
   std::uint32_t Names = 0;
+  std::size_t Returns = 0;
 };
 
 } // namespace
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -22,6 +22,8 @@
   Duration Faults = std::chrono::seconds(6);
   /// Without faults the run shows that a calm installation serves everything.
   bool HasFaults = true;
+  /// Whether the store comes back from an older copy, as one of the faults.
+  bool HasReturns = false;
   std::size_t Balancers = 3;
   std::size_t Upstreams = 5;
   /// Where the programs were built.
@@ -34,6 +36,8 @@
   std::vector<std::string> Violations;
   /// The faults in their order, to read a failed run.
   std::vector<std::string> Faults;
+  /// How often the store came back from an older copy.
+  std::size_t Returns = 0;
   std::size_t Served = 0;
   std::size_t Refused = 0;
   std::size_t Reset = 0;
