Follow the store to an address that the settings name anew

Cause: a balancer took over `seeds` of changed settings alone; the store's client kept the address of its start.

`bounds.stable_ms` is taken over too. Fields that are read at the start only are logged when they change, and listed in docs/settings.md.

--- a/test/platform-adapter-test.cc
+++ b/test/platform-adapter-test.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <fstream>
 
 #include "boot-settings.h"
 #include "packet-codec.h"
+#include "program.h"
 #include "store-feed.h"
 #include "store-model.h"
 
@@ -345,6 +347,92 @@
                     BadSettingsRow{"10.2.0.40:8166", "a:b", "seeds"},
                     BadSettingsRow{"[listen]", "[listen", "syntax"}));
 
+/// A field of the settings file, and who reads it at its start only.
+struct FieldRow {
+  std::string Name;
+  std::string Line;
+  std::string Replacement;
+  bool NeedsBalancerRestart = false;
+  bool NeedsAgentRestart = false;
+};
+
+class FieldTest : public testing::TestWithParam<FieldRow> {
+protected:
+  /// Returns the lines of the page on settings that name the field.
+  static std::string documentation(const std::string &Field) {
+    std::ifstream Page(MULBERRY_SOURCE_DIR "/docs/settings.md");
+    std::string Found;
+    for (std::string Line; std::getline(Page, Line);) {
+      if (Line.find("`" + Field + "`") != std::string::npos) {
+        Found += Line;
+      }
+    }
+    return Found;
+  }
+};
+
+// Guards against a setting that changes and is neither taken over nor said to
+// need a restart (review case 7).
+TEST_P(FieldTest, ChangeIsTakenOverOrNeedsARestart) {
+  const FieldRow &Row = GetParam();
+  std::string Text(GoodSettings);
+  const std::size_t At = Text.find(Row.Line);
+  ASSERT_NE(At, std::string::npos);
+  Text.replace(At, Row.Line.size(), Row.Replacement);
+  const auto Before = parseBootSettings(GoodSettings);
+  const auto After = parseBootSettings(Text);
+  ASSERT_TRUE(Before.has_value());
+  ASSERT_TRUE(After.has_value()) << After.error().Detail;
+  for (const BootField &Each : bootFields()) {
+    EXPECT_EQ(Each.Differs(*Before, *After), Each.Name == Row.Name)
+        << Each.Name;
+  }
+  const auto Expected = [&Row](bool NeedsRestart) {
+    return NeedsRestart ? std::vector<std::string_view>{Row.Name}
+                        : std::vector<std::string_view>();
+  };
+  EXPECT_EQ(fieldsForRestart(*Before, *After, BalancerRestartFields),
+            Expected(Row.NeedsBalancerRestart));
+  EXPECT_EQ(fieldsForRestart(*Before, *After, AgentRestartFields),
+            Expected(Row.NeedsAgentRestart));
+  const std::string Page = documentation(Row.Name);
+  EXPECT_FALSE(Page.empty());
+  EXPECT_EQ(Page.find("at the start") != std::string::npos,
+            Row.NeedsBalancerRestart || Row.NeedsAgentRestart);
+}
+
+const std::vector<FieldRow> FieldRows = {
+    {"node", "side-1", "side-2", true, true},
+    {"zone", "zone = \"z\"", "zone = \"y\""},
+    {"ip", "ip = \"10.1.0.12\"", "ip = \"10.1.0.13\"", true, true},
+    {"port_range", "[7720", "[7721", true, true},
+    {"seeds", "10.1.0.10:8166", "10.1.0.11:8166"},
+    {"app", "10.1.0.12:8165", "10.1.0.12:8164"},
+    {"backend", "orders", "templates"},
+    {"listen.udp_addr", "10.1.0.12:8172", "10.1.0.12:8173", true, true},
+    {"listen.outbound", "10.1.0.12:8162", "10.1.0.12:8163", false, true},
+    {"listen.ready", "10.1.0.12:8167", "10.1.0.12:8168", true, true},
+    {"listen.control", "[bounds]", "control = \"10.1.0.12:8166\"\n[bounds]",
+     true, false},
+    {"bounds.stable_ms", "5000", "4000"},
+    {"bounds.reuse_s", "stable_ms", "reuse_s = 3\nstable_ms", false, true},
+    {"bounds.cold_excess", "1.5", "2.5", true, false},
+    {"bounds.cold_slack", "cold_slack = 5", "cold_slack = 6", true, false},
+    {"limits.link_mbps", "12.0", "13.0", true, false},
+    {"platform.addr", "10.200.1.7", "10.200.1.8"}};
+
+INSTANTIATE_TEST_SUITE_P(Rows, FieldTest, testing::ValuesIn(FieldRows),
+                         [](const auto &Info) {
+                           std::string Name = Info.param.Name;
+                           std::ranges::replace(Name, '.', '_');
+                           return Name;
+                         });
+
+// Guards against a field that no row covers.
+TEST(BootSettingsTest, EachFieldHasARow) {
+  EXPECT_EQ(bootFields().size(), FieldRows.size());
+}
+
 struct WatchRow {
   milliseconds StableTime;
 };
--- a/test/store-feed-test.cc
+++ b/test/store-feed-test.cc
@@ -303,6 +303,70 @@
   EXPECT_TRUE(await([&] { return this->Directories.get() != nullptr; }));
 }
 
+/// A store at the address that the settings name anew, and whether it is used.
+struct AddressRow {
+  std::string Name;
+  /// Makes the store there differ from the former one.
+  void (*Prepare)(Store &);
+  bool IsUsed = false;
+};
+
+class FeedAddressTest : public FeedReturnTest,
+                        public testing::WithParamInterface<AddressRow> {
+protected:
+  static constexpr Endpoint NewAddress = {0x7F000001, 18'775};
+};
+
+// Guards against a balancer that keeps to the former address of the store
+// (review case 7), and against one that gives it up for a wrong one.
+TEST_P(FeedAddressTest, StoreIsFollowedAtAnAddressThatServesIt) {
+  Store Next{NewAddress};
+  Next.returnFrom(this->Copy);
+  Next.setEra(1);
+  GetParam().Prepare(Next);
+  StoreFeed Feed(settings(), this->Directories);
+  const auto Reader = start(Feed);
+  const std::jthread Follower([&Feed](const std::stop_token &Stop) {
+    EXPECT_TRUE(Feed.followAddress(Stop).has_value());
+  });
+  ASSERT_TRUE(await([&] { return this->Directories.get() != nullptr; }));
+  BootSettings Changed = settings();
+  Changed.Store = NewAddress;
+  Feed.onSettings(Changed);
+  std::this_thread::sleep_for(milliseconds(300));
+  Store &Followed = GetParam().IsUsed ? Next : this->Server;
+  Store &Other = GetParam().IsUsed ? this->Server : Next;
+  Other.setMode(StoreMode::Resetting);
+  Followed.put("servers/i-2", otherEntry("draining"));
+  EXPECT_TRUE(await([&] {
+    return stateOfOther(this->Directories) == UpstreamState::Draining;
+  }));
+  // A store that is away at both addresses takes nothing from the directory.
+  Followed.setMode(StoreMode::Resetting);
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(stateOfOther(this->Directories), UpstreamState::Draining);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, FeedAddressTest,
+    testing::Values(
+        AddressRow{"sameStore", [](Store &) {}, true},
+        AddressRow{"newerStore",
+                   [](Store &Next) { Next.put("op/config", configuration(9)); },
+                   true},
+        AddressRow{"returnedFromACopy", [](Store &Next) { Next.setEra(2); },
+                   true},
+        AddressRow{"away",
+                   [](Store &Next) { Next.setMode(StoreMode::Resetting); }},
+        AddressRow{"busy", [](Store &Next) { Next.setMode(StoreMode::Busy); }},
+        AddressRow{
+            "olderConfiguration",
+            [](Store &Next) { Next.put("op/config", configuration(6)); }},
+        AddressRow{"noConfiguration",
+                   [](Store &Next) { Next.remove("op/config"); }},
+        AddressRow{"formerEra", [](Store &Next) { Next.setEra(0); }}),
+    [](const auto &Info) { return Info.param.Name; });
+
 /// Changes of the store: the first one evacuates the upstream's zone, and each
 /// further one changes that.
 struct EvacuationRow {
