End a process although the reader of its log stalls

Cause: the thread that writes the log held the lock of `stdout` in a blocked `fwrite`; the flush at `exit` waits for it.

Change: lines are written without the stream. The shutdown gives up pending lines once the reader has taken nothing for 200 ms and leaves no room, and otherwise waits for up to 2 s, so that a writer that has not been scheduled does not lose the last line.

--- a/src/log.cc
+++ b/src/log.cc
@@ -1,16 +1,20 @@
 #include "mulberryhoist/log.h"
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <climits>
 #include <condition_variable>
-#include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 namespace mulberryhoist {
@@ -23,21 +27,26 @@
 /// Time for which the writer collects lines to write them in one call.
 constexpr std::chrono::milliseconds BatchDelay{50};
 
-/// Maximum time for which the shutdown waits until pending lines are written.
+/// Time after which the shutdown gives up pending lines if the reader of the
+/// log has taken nothing meanwhile.
 constexpr std::chrono::milliseconds FlushTimeout{200};
 
+/// Maximum time for which the shutdown waits until pending lines are written.
+constexpr std::chrono::milliseconds MaxFlushTime{2000};
+
 struct ProcessName {
   std::mutex Lock;
   std::string Name;
 };
 
 /// Lines not written yet; owned jointly with the writer thread, which outlives
-/// its `LogWriter` if a write blocks for longer than `FlushTimeout`.
+/// its `LogWriter` if a write blocks.
 struct Backlog {
   std::mutex Lock;
   std::condition_variable Changed;
   std::string Lines;
   std::uint64_t Dropped = 0;
+  std::atomic<std::uint64_t> Written{0};
   bool Stopping = false;
   bool Done = false;
 };
@@ -100,12 +109,37 @@
   return Line;
 }
 
-/// Writes to standard output; `fwrite` locks the stream, so lines of several
-/// threads do not mix. Errors are ignored, since there is nowhere to report
-/// them.
-void writeNow(std::string_view Text) {
-  (void)std::fwrite(Text.data(), 1, Text.size(), stdout);
-  (void)std::fflush(stdout);
+/// Writes to standard output without the stream, whose lock a blocked write
+/// would hold when the process exits. Adds to `Written` as the reader takes the
+/// bytes. Errors are ignored, since there is nowhere to report them.
+void writeNow(std::string_view Text, std::atomic<std::uint64_t> &Written) {
+  while (!Text.empty()) {
+    const auto Count = ::write(STDOUT_FILENO, Text.data(),
+                               std::min(Text.size(), std::size_t{PIPE_BUF}));
+    if (Count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (Count <= 0) {
+      return;
+    }
+    Written += static_cast<std::uint64_t>(Count);
+    Text.remove_prefix(static_cast<std::size_t>(Count));
+  }
+}
+
+/// Writes one line while no `LogWriter` exists.
+void writeDirectly(std::string_view Text) {
+  // Keeps the lines of several threads whole.
+  static std::mutex Lock;
+  static std::atomic<std::uint64_t> Written{0};
+  const std::scoped_lock Guard(Lock);
+  writeNow(Text, Written);
+}
+
+/// Returns whether the reader of the log leaves room for more.
+bool isReaderReady() {
+  pollfd Output = {STDOUT_FILENO, POLLOUT, 0};
+  return ::poll(&Output, 1, 0) == 1;
 }
 
 void writeLine(const Json &Line) {
@@ -115,7 +149,7 @@
       Line.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n';
   const std::shared_ptr<Backlog> Pending = activeBacklog().load();
   if (Pending == nullptr) {
-    writeNow(Text);
+    writeDirectly(Text);
     return;
   }
   const std::scoped_lock Guard(Pending->Lock);
@@ -140,11 +174,11 @@
     const std::string Lines = std::exchange(Pending->Lines, {});
     const std::uint64_t Dropped = std::exchange(Pending->Dropped, 0);
     Guard.unlock();
-    writeNow(Lines);
+    writeNow(Lines, Pending->Written);
     if (Dropped != 0) {
       Json Line = beginLine(LogLevel::Warning, "log lines dropped");
       Line["count"] = Dropped;
-      writeNow(Line.dump() + '\n');
+      writeNow(Line.dump() + '\n', Pending->Written);
     }
     Guard.lock();
     if (Pending->Stopping && Pending->Lines.empty()) {
@@ -172,7 +206,17 @@
   std::unique_lock Guard(Pending->Lock);
   Pending->Stopping = true;
   Pending->Changed.notify_all();
-  Pending->Changed.wait_for(Guard, FlushTimeout, [&] { return Pending->Done; });
+  const auto Deadline = std::chrono::steady_clock::now() + MaxFlushTime;
+  std::uint64_t Before = 0;
+  do {
+    Before = Pending->Written;
+    if (Pending->Changed.wait_for(Guard, FlushTimeout,
+                                  [&] { return Pending->Done; })) {
+      return;
+    }
+    // On a busy machine, the writer may not have run yet.
+  } while ((Pending->Written != Before || isReaderReady()) &&
+           std::chrono::steady_clock::now() < Deadline);
 }
 
 void setUpLog(std::string_view Process, LogLevel MinLevel) {
--- a/test/log-test.cc
+++ b/test/log-test.cc
@@ -2,11 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -118,5 +122,80 @@
   EXPECT_LT(Spent, std::chrono::seconds(2));
 }
 
+/// How the reader of a process's log behaves.
+struct ReaderRow {
+  std::string Name;
+  /// The time between two reads of 4 kB; nothing is read if it is 0.
+  std::chrono::milliseconds Period{0};
+  bool HasLastLine = false;
+};
+
+class ExitTest : public testing::TestWithParam<ReaderRow> {
+protected:
+  /// Logs more than a pipe takes, and exits.
+  [[noreturn]] static void runChild(int Output) {
+    ::dup2(Output, STDOUT_FILENO);
+    {
+      const LogWriter Writer;
+      for (int I = 0; I < 100; ++I) {
+        log(LogLevel::Info, std::string(1000, 'x'));
+      }
+      log(LogLevel::Info, "last line");
+    }
+    std::exit(EXIT_SUCCESS);
+  }
+};
+
+// Guards against a process that does not end while the reader of its log stalls
+// (review case 10), and against a last line that is lost to a slow reader.
+TEST_P(ExitTest, ProcessEndsWhateverTheReaderDoes) {
+  setUpLog("test", LogLevel::Info);
+  std::fflush(stdout);
+  std::array<int, 2> Pipe{};
+  ASSERT_EQ(::pipe(Pipe.data()), 0);
+  const pid_t Child = ::fork();
+  ASSERT_GE(Child, 0);
+  if (Child == 0) {
+    runChild(Pipe[1]);
+  }
+  ::close(Pipe[1]);
+  const auto Begin = std::chrono::steady_clock::now();
+  std::string Read;
+  std::array<char, 4096> Buffer{};
+  int Status = 0;
+  bool HasEnded = false;
+  while (!HasEnded &&
+         std::chrono::steady_clock::now() - Begin < std::chrono::seconds(5)) {
+    std::this_thread::sleep_for(
+        std::max(GetParam().Period, std::chrono::milliseconds(5)));
+    if (GetParam().Period.count() > 0) {
+      const ssize_t Size = ::read(Pipe[0], Buffer.data(), Buffer.size());
+      Read.append(Buffer.data(),
+                  static_cast<std::size_t>(std::max<ssize_t>(Size, 0)));
+    }
+    HasEnded = ::waitpid(Child, &Status, WNOHANG) == Child;
+  }
+  EXPECT_TRUE(HasEnded);
+  if (!HasEnded) {
+    ::kill(Child, SIGKILL);
+    ::waitpid(Child, &Status, 0);
+  }
+  for (ssize_t Size = 1; Size > 0;) {
+    Size = ::read(Pipe[0], Buffer.data(), Buffer.size());
+    Read.append(Buffer.data(),
+                static_cast<std::size_t>(std::max<ssize_t>(Size, 0)));
+  }
+  ::close(Pipe[0]);
+  EXPECT_EQ(Read.find("last line") != std::string::npos,
+            GetParam().HasLastLine);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Readers, ExitTest,
+    testing::Values(ReaderRow{"stalled"},
+                    ReaderRow{"slow", std::chrono::milliseconds(40), true},
+                    ReaderRow{"fast", std::chrono::milliseconds(1), true}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace mulberryhoist
