--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -43,9 +43,11 @@
                          // sequence numbers. 103: new work by the entry that
                          // an upstream had before its restart. 114: the bytes
                          // of an opening were freed before they were sent.
+                         // 954, 959: the store comes back from older copies.
                          testing::Values(SeedRow{1, false}, SeedRow{113, true},
-                                         SeedRow{103, true},
-                                         SeedRow{114, true}));
+                                         SeedRow{103, true}, SeedRow{114, true},
+                                         SeedRow{954, true, true},
+                                         SeedRow{959, true, true}));
 
 } // namespace
 } // namespace mulberryhoist::soak
