--- a/include/mulberryhoist/directory.h
+++ b/include/mulberryhoist/directory.h
@@ -272,10 +272,10 @@
 /// ended ones are forgotten.
 inline constexpr std::size_t MaxEvacuations = 1'024;
 
-/// The most that may have passed since the last answer of the former source for
-/// an evacuation that the copy has, and that is known to have ended, to stay
-/// ended. An evacuation that was ordered again since must be in force 5 s after
-/// its acknowledgement, and is told apart `ReregistrationGrace` later.
+/// How long ago the former source may have answered last for an evacuation that
+/// has ended, and that the copy still has, to stay ended. The copy may have it
+/// because it was ordered again; then it must be in force 5 s after that, and
+/// the listing `ReregistrationGrace` later tells.
 inline constexpr Duration RecentAnswer = std::chrono::seconds(2);
 
 /// What a balancer knows of the source of its directory.
@@ -391,6 +391,7 @@
   }
   /// Sets the era of all that is known without one.
   void setUnknownEras(std::uint64_t Next);
+  /// Begins the time in which what is known goes before listings.
   void beginReturn(const SourceRevision &AsOf, Instant Until);
   /// Applies an entry of a copy, unless the known one counts. Returns false if
   /// it is of a former process of that name, so that the known one is missing.
@@ -427,8 +428,10 @@
   bool SourceLost = true;
   /// Removals before this time may be caused by an outage of the source.
   std::optional<Instant> GraceUntil;
+  /// See `keptUntil`.
   std::optional<Instant> KeptUntil;
-  /// Whether an evacuation that the copy has may be known to have ended.
+  /// Whether the end of an evacuation that the copy has is believed; see
+  /// `RecentAnswer`.
   bool KeepsEnds = false;
   std::shared_ptr<const Directory> Cached;
 };
