--- a/include/mulberryhoist/directory-exchange.h
+++ b/include/mulberryhoist/directory-exchange.h
@@ -49,7 +49,8 @@
 /// available; empty if there is none.
 std::optional<PeerDirectory> bestDirectory(std::vector<PeerDirectory> All);
 
-/// Applies what another balancer knows to a builder without own listing.
+/// Applies another balancer's directory while the source is unavailable, or
+/// before its first listing.
 void applyPeerDirectory(PeerDirectory Peer, DirectoryBuilder &To);
 
 /// Fetches the directories of other balancers and applies the best one: one
